--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# `make demo` and `make test` are all that a fresh machine needs.
+BUILD := build
+JOBS := $(shell nproc)
+
+.PHONY: all setup build demo test format check-format lint wire clean
+
+all: build
+
+setup:
+	@tools/setup
+
+build: setup
+	@cmake -S . -B $(BUILD) -G Ninja > /dev/null
+	@cmake --build $(BUILD) -- -j $(JOBS)
+
+demo: build
+	@tools/demo
+
+test: build
+	@ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+format:
+	@clang-format -i $$(tools/sources)
+
+check-format:
+	@clang-format --dry-run -Werror $$(tools/sources)
+
+lint: build
+	@tools/lint
+
+# Generates the code for the RPC schemas again; it is committed.
+wire:
+	@cd src/rpc && capnp compile -oc++ *.capnp
+
+clean:
+	@rm -rf $(BUILD)
--- /dev/null
+++ b/src/agent/action/call_endpoint.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/task_id.h"
+
+#include <chrono>
+#include <string>
+
+namespace teaselward
+{
+
+/** Runs a task on the endpoint. */
+struct call_endpoint {
+    task_id id;
+    std::string kind;
+    std::string payload;
+    std::chrono::milliseconds timeLimit{};
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/agent/agent_action.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "agent/action/announce_leaving.h"
+#include "agent/action/answer_fence.h"
+#include "agent/action/answer_revoke.h"
+#include "agent/action/answer_start.h"
+#include "agent/action/call_endpoint.h"
+#include "agent/action/finish_agent_drain.h"
+#include "agent/action/grant_credits.h"
+
+#include <variant>
+
+namespace teaselward
+{
+
+/** Everything that the decisions of an agent ask of its adapters. */
+using agent_action = std::variant<answer_start, answer_revoke, answer_fence, call_endpoint, grant_credits, announce_leaving, finish_agent_drain>;
+
+} // namespace teaselward
--- /dev/null
+++ b/src/agent/agent_event.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "agent/event/agent_drain_started.h"
+#include "agent/event/agent_timer_fired.h"
+#include "agent/event/call_finished.h"
+#include "agent/event/demand_received.h"
+#include "agent/event/entry_joined.h"
+#include "agent/event/entry_lost.h"
+#include "agent/event/fence_received.h"
+#include "agent/event/revoke_received.h"
+#include "agent/event/start_received.h"
+
+#include <variant>
+
+namespace teaselward
+{
+
+/** Everything that can change the state of an agent. */
+using agent_event = std::
+    variant<start_received, revoke_received, fence_received, demand_received, call_finished, entry_joined, entry_lost, agent_timer_fired, agent_drain_started>;
+
+} // namespace teaselward
--- /dev/null
+++ b/src/agent/event/call_finished.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "core/task_id.h"
+#include "core/task_outcome.h"
+
+namespace teaselward
+{
+
+/** The endpoint answered a call, or the call failed. */
+struct call_finished {
+    task_id id;
+    task_outcome outcome; ///< Its verdict is notStarted only if no byte of the request was sent.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/agent/event/entry_joined.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/entry_info.h"
+
+namespace teaselward
+{
+
+/** The agent registered at an entry. */
+struct entry_joined {
+    entry_info info;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/base/bounded_ring.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace teaselward
+{
+
+/**
+ * Queue of fixed capacity between threads. Every duty of a process has one ring as its inbox.
+ * Waiting threads block; none spins.
+ */
+template<typename T>
+class bounded_ring
+{
+public:
+    /**
+     * Creates an empty ring.
+     * @param capacity number of items that fit
+     */
+    explicit bounded_ring(std::size_t capacity)
+        : m_items(capacity)
+    {
+    }
+
+    bounded_ring(const bounded_ring &) = delete;
+    bounded_ring &operator=(const bounded_ring &) = delete;
+
+    /**
+     * Sets a function that is called after each push and on close, for consumers that wait in a foreign event loop.
+     * It must be set before the first push.
+     * @param wake function that may be called from any thread
+     */
+    void setWaker(std::function<void()> wake)
+    {
+        m_wake = std::move(wake);
+    }
+
+    /**
+     * Adds an item unless the ring is full or closed.
+     * @param item moved from only if it was added
+     * @return whether the item was added
+     */
+    bool tryPush(T &&item)
+    {
+        {
+            absl::MutexLock lock(&m_mutex);
+            if (m_closed || m_count == m_items.size()) {
+                return false;
+            }
+            append(std::move(item));
+        }
+        wakeConsumer();
+        return true;
+    }
+
+    /**
+     * Adds an item and blocks while the ring is full.
+     * @param item the item
+     * @return false if the ring is closed
+     */
+    bool push(T item)
+    {
+        {
+            absl::MutexLock lock(&m_mutex);
+            while (!m_closed && m_count == m_items.size()) {
+                m_notFull.Wait(&m_mutex);
+            }
+            if (m_closed) {
+                return false;
+            }
+            append(std::move(item));
+        }
+        wakeConsumer();
+        return true;
+    }
+
+    /**
+     * Takes the oldest item and blocks while the ring is empty.
+     * @return the item, or nothing once the ring is closed and empty
+     */
+    std::optional<T> pop()
+    {
+        absl::MutexLock lock(&m_mutex);
+        while (m_count == 0 && !m_closed) {
+            m_notEmpty.Wait(&m_mutex);
+        }
+        return takeFirst();
+    }
+
+    /**
+     * Takes the oldest item and blocks while the ring is empty until a given time.
+     * @param until end of the wait
+     * @return the item, or nothing if none came in time or the ring is closed and empty
+     */
+    std::optional<T> popUntil(mono_time until)
+    {
+        absl::MutexLock lock(&m_mutex);
+        while (m_count == 0 && !m_closed) {
+            const auto left = until - mono_clock::now();
+            if (left <= left.zero()) {
+                break;
+            }
+            m_notEmpty.WaitWithTimeout(&m_mutex, absl::FromChrono(left));
+        }
+        return takeFirst();
+    }
+
+    /**
+     * Takes the oldest item without waiting.
+     * @return the item, or nothing if the ring is empty
+     */
+    std::optional<T> tryPop()
+    {
+        absl::MutexLock lock(&m_mutex);
+        return takeFirst();
+    }
+
+    /** Refuses further items and wakes every waiting thread. Items already in the ring can still be taken. */
+    void close()
+    {
+        {
+            absl::MutexLock lock(&m_mutex);
+            m_closed = true;
+            m_notEmpty.SignalAll();
+            m_notFull.SignalAll();
+        }
+        wakeConsumer();
+    }
+
+    /** @return whether the ring is closed and empty, so that no item will come any more */
+    bool isFinished() const
+    {
+        absl::MutexLock lock(&m_mutex);
+        return m_closed && m_count == 0;
+    }
+
+private:
+    void append(T &&item) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+    {
+        m_items[(m_first + m_count) % m_items.size()] = std::move(item);
+        ++m_count;
+        m_notEmpty.Signal();
+    }
+
+    std::optional<T> takeFirst() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+    {
+        if (m_count == 0) {
+            return std::nullopt;
+        }
+        std::optional<T> item(std::exchange(m_items[m_first], T{}));
+        m_first = (m_first + 1) % m_items.size();
+        --m_count;
+        m_notFull.Signal();
+        return item;
+    }
+
+    void wakeConsumer() const
+    {
+        if (m_wake) {
+            m_wake();
+        }
+    }
+
+    mutable absl::Mutex m_mutex;
+    absl::CondVar m_notEmpty;
+    absl::CondVar m_notFull;
+    std::vector<T> m_items ABSL_GUARDED_BY(m_mutex);
+    std::size_t m_first ABSL_GUARDED_BY(m_mutex) = 0;
+    std::size_t m_count ABSL_GUARDED_BY(m_mutex) = 0;
+    bool m_closed ABSL_GUARDED_BY(m_mutex) = false;
+    std::function<void()> m_wake;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/cli/run.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace teaselward
+{
+
+/**
+ * Runs the subcommand that the command line names.
+ * @param argc number of arguments
+ * @param argv arguments; the first after the program's name is the subcommand
+ * @return exit status of the process
+ */
+int runCommandLine(int argc, char **argv);
+
+} // namespace teaselward
--- /dev/null
+++ b/src/core/held_state.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** State of a task in the ledger of an agent. */
+enum class held_state : std::uint8_t {
+    notStarted, ///< Not started; a tombstone refuses a later start.
+    running, ///< Started, no outcome yet.
+    finished, ///< Started, the outcome is known.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/core/job_state.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** State of a job as its caller sees it. */
+enum class job_state : std::uint8_t {
+    refused, ///< No job was created.
+    running, ///< Accepted and not yet answered.
+    complete, ///< Every task succeeded.
+    failed, ///< At least one task has no result.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/core/kind_rule.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace teaselward
+{
+
+/** Rules for one kind of requests. */
+struct kind_rule {
+    std::string service;
+    double weight = 1.0; ///< Share relative to the other kinds.
+    double floor = 0.0; ///< Part of all slots that the kind gets whenever it has work, from 0 to 1.
+    bool idempotent = false;
+    std::chrono::milliseconds timeLimit = std::chrono::seconds(10); ///< Deadline of a job without one of its own.
+    std::uint32_t queueLimit = 4096; ///< Tasks queued at one entry.
+    std::uint32_t taskLimit = 210; ///< Tasks of one job.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/core/task_id.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/ticket_id.h"
+
+#include <cstdint>
+#include <utility>
+
+namespace teaselward
+{
+
+/** Identifies one task of one ticket. */
+struct task_id {
+    ticket_id ticket;
+    std::uint32_t index = 0; ///< Position of the task in its job.
+
+    friend bool operator==(const task_id &, const task_id &) = default;
+
+    template<typename H>
+    friend H AbslHashValue(H state, const task_id &value)
+    {
+        return H::combine(std::move(state), value.ticket, value.index);
+    }
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/core/ticket.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/ticket_id.h"
+
+#include <chrono>
+#include <string>
+
+namespace teaselward
+{
+
+/** Right to submit one job at the entry incarnation that issued it. */
+struct ticket {
+    std::string home; ///< RPC address of the home entry as IP:PORT.
+    ticket_id id;
+    std::chrono::milliseconds issuedAt{}; ///< Time since the home incarnation started.
+
+    friend bool operator==(const ticket &, const ticket &) = default;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/action/fence_ticket.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "core/agent_id.h"
+#include "core/ticket_id.h"
+
+namespace teaselward
+{
+
+/** Asks an agent to start no further task of a ticket and to return what it holds. */
+struct fence_ticket {
+    agent_id agent;
+    ticket_id ticket;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/action/revoke_task.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/agent_id.h"
+#include "core/task_id.h"
+
+#include <chrono>
+
+namespace teaselward
+{
+
+/** Asks an agent to revoke a start whose fate is unknown. */
+struct revoke_task {
+    agent_id agent;
+    task_id id;
+    std::chrono::milliseconds delay{}; ///< Time to wait before the call is sent.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/entry_core_settings.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/entry_info.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace teaselward
+{
+
+/** What the decisions of an entry are told at start. */
+struct entry_core_settings {
+    entry_info self;
+    std::chrono::milliseconds ticketLifetime = std::chrono::minutes(10);
+    std::chrono::milliseconds sessionLease = std::chrono::seconds(2); ///< A decision thread paused for longer revokes before it places again.
+    std::chrono::milliseconds revokeRetry = std::chrono::milliseconds(100); ///< First delay between two revocations of one task.
+    std::chrono::milliseconds reportInterval = std::chrono::seconds(1); ///< Between two reports of the team quotas.
+    std::uint32_t ticketBatch = 1000; ///< Most tickets of one request.
+    std::string strategy = "credits"; ///< Name in the table of placement strategies.
+    std::uint64_t seed = 1; ///< Seed of the random numbers.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/event/agent_joined.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/agent_info.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** An agent registered or registered again after a lost connection. */
+struct agent_joined {
+    agent_info info;
+    std::uint32_t credits = 0; ///< Slot credits granted with the registration.
+    std::chrono::milliseconds lease{}; ///< Time that the session stays valid without a message.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/event/agent_leaving.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/agent_id.h"
+
+namespace teaselward
+{
+
+/** An agent accepts no new work. */
+struct agent_leaving {
+    agent_id agent;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/event/agent_lost.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/agent_id.h"
+
+namespace teaselward
+{
+
+/** The connection to an agent was lost; calls in progress have no answer. */
+struct agent_lost {
+    agent_id agent;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/event/job_queried.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/request_id.h"
+#include "core/ticket.h"
+
+#include <chrono>
+
+namespace teaselward
+{
+
+/** A caller asks for the answer of a job. */
+struct job_queried {
+    request_id request;
+    ticket source;
+    std::chrono::milliseconds wait{}; ///< Longest time to wait for the final answer.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/event/peer_joined.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/entry_info.h"
+
+namespace teaselward
+{
+
+/** Another entry is connected. */
+struct peer_joined {
+    entry_info info;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/event/peer_reported.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "core/entry_id.h"
+#include "core/team_usage.h"
+
+#include <vector>
+
+namespace teaselward
+{
+
+/** Another entry reported its use of the team quotas. */
+struct peer_reported {
+    entry_id peer;
+    std::vector<team_usage> usage;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/event/rules_applied.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "core/rule_set.h"
+
+#include <memory>
+
+namespace teaselward
+{
+
+/** A configuration came into force at this process. */
+struct rules_applied {
+    std::shared_ptr<const rule_set> rules;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/event/ticket_fenced.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/agent_id.h"
+#include "core/held_task.h"
+#include "core/ticket_id.h"
+
+#include <vector>
+
+namespace teaselward
+{
+
+/** An agent answered a fence, or the call failed. */
+struct ticket_fenced {
+    agent_id agent;
+    ticket_id ticket;
+    bool answered = false; ///< False if the agent did not answer.
+    std::vector<held_task> held;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/event/ticket_requested.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "core/request_id.h"
+
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** A caller asks for tickets. */
+struct ticket_requested {
+    request_id request;
+    std::uint32_t count = 1;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/place/slot_table.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "base/clock.h"
+#include "core/agent_id.h"
+#include "core/agent_info.h"
+#include "core/task_outcome.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class slot_table_private;
+}
+
+/**
+ * Endpoints that an entry knows, with their slot credits and health, and the choice among them.
+ * It is used by the decision thread only.
+ */
+class slot_table
+{
+public:
+    /**
+     * Creates an empty table.
+     * @param strategy name in the table of placement strategies
+     * @param seed seed of the strategies that draw random numbers
+     * @throws std::out_of_range if there is no such strategy
+     */
+    slot_table(std::string_view strategy, std::uint64_t seed);
+    ~slot_table();
+
+    slot_table(const slot_table &) = delete;
+    slot_table &operator=(const slot_table &) = delete;
+
+    /**
+     * Adds an agent or renews its session.
+     * @param info announcement of the agent
+     * @param credits slot credits granted with the registration; they replace the former ones
+     * @param lease time that the session stays valid without a message
+     * @param now present time
+     */
+    void join(const agent_info &info, std::uint32_t credits, std::chrono::milliseconds lease, mono_time now);
+
+    /**
+     * Takes an agent out of placement, since its connection is lost or it is leaving.
+     * @param agent the agent
+     */
+    void leave(const agent_id &agent);
+
+    /**
+     * Changes the credits of an agent.
+     * @param agent the agent
+     * @param delta credits granted, or taken back if negative
+     */
+    void addCredits(const agent_id &agent, std::int32_t delta);
+
+    /**
+     * Tells whether acquire() would find an endpoint.
+     * @param kind kind of the task
+     * @param now present time
+     */
+    bool isPlaceable(std::string_view kind, mono_time now);
+
+    /**
+     * Chooses an endpoint for a task and uses one of its credits.
+     * @param kind kind of the task
+     * @param now present time
+     * @return the agent of the endpoint, or nothing if no credit is left
+     */
+    std::optional<agent_id> acquire(std::string_view kind, mono_time now);
+
+    /**
+     * Records the outcome of a task, which decides on the health of the endpoint.
+     * @param agent agent that ran the task
+     * @param kind kind of the task
+     * @param outcome its outcome
+     * @param credits credits returned with the outcome
+     * @param now present time
+     */
+    void release(const agent_id &agent, std::string_view kind, const task_outcome &outcome, std::int32_t credits, mono_time now);
+
+    /**
+     * Counts the slots of usable endpoints, so that jobs that can never run are refused early.
+     * @param kind kind of the tasks
+     * @return slots of all connected endpoints that offer the kind, whether free or not
+     */
+    std::size_t slots(std::string_view kind) const;
+
+    /** @return agents that are connected and not leaving */
+    std::vector<agent_id> agents() const;
+
+    /**
+     * Instant at which the table changes without an event, such as the next probe of an unhealthy endpoint.
+     * @return the instant, or the greatest one if there is none
+     */
+    mono_time nextDue() const;
+
+private:
+    std::unique_ptr<detail::slot_table_private> d;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/share/queued_task.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/clock.h"
+#include "core/task_id.h"
+
+#include <string>
+
+namespace teaselward
+{
+
+/** Task that waits at its home entry for a slot. */
+struct queued_task {
+    task_id id;
+    std::string kind;
+    std::string team;
+    mono_time deadline{};
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/tests/base/bounded_ring_test.cpp
@@ -0,0 +1,63 @@
+#include "base/bounded_ring.h"
+#include "base/duty_thread.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+
+using namespace teaselward;
+
+BOOST_AUTO_TEST_SUITE(bounded_ring_test)
+
+// Guards against a ring that grows without bound or overwrites items in a burst.
+BOOST_AUTO_TEST_CASE(refusesItemsWhileFull)
+{
+    bounded_ring<int> ring(2);
+    BOOST_TEST(ring.tryPush(1));
+    BOOST_TEST(ring.tryPush(2));
+    BOOST_TEST(!ring.tryPush(3));
+    BOOST_TEST(ring.pop().value() == 1);
+    BOOST_TEST(ring.tryPush(4));
+    BOOST_TEST(ring.pop().value() == 2);
+    BOOST_TEST(ring.pop().value() == 4);
+}
+
+// Guards against items that are lost when a process closes its rings during a graceful shutdown.
+BOOST_AUTO_TEST_CASE(deliversItemsThatWereQueuedBeforeClose)
+{
+    bounded_ring<int> ring(4);
+    BOOST_TEST(ring.tryPush(1));
+    ring.close();
+    BOOST_TEST(!ring.tryPush(2));
+    BOOST_TEST(ring.pop().value() == 1);
+    BOOST_TEST(!ring.pop().has_value());
+    BOOST_TEST(ring.isFinished());
+}
+
+// Guards against a consumer or a producer that sleeps forever although the ring has changed.
+BOOST_AUTO_TEST_CASE(passesEveryItemBetweenThreadsInOrder)
+{
+    constexpr int count = 10000;
+    bounded_ring<int> ring(3);
+    duty_thread producer("producer", [&ring] {
+        for (int i = 0; i < count; ++i) {
+            ring.push(i);
+        }
+        ring.close();
+    });
+    int expected = 0;
+    while (const auto item = ring.pop()) {
+        BOOST_REQUIRE(*item == expected);
+        ++expected;
+    }
+    BOOST_TEST(expected == count);
+}
+
+// Guards against a wait that ignores its end when no item comes.
+BOOST_AUTO_TEST_CASE(popUntilReturnsNothingAfterItsEnd)
+{
+    bounded_ring<int> ring(1);
+    BOOST_TEST(!ring.popUntil(mono_clock::now() + std::chrono::milliseconds(5)).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/core/reason_text_test.cpp
@@ -0,0 +1,21 @@
+#include "core/reason_text.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace teaselward;
+
+BOOST_AUTO_TEST_SUITE(reason_text_test)
+
+// Guards against an enumerator that was added without its text, which would shift the codes that callers see.
+BOOST_AUTO_TEST_CASE(everyReasonHasItsOwnText)
+{
+    for (int value = 0; value <= static_cast<int>(reason::unauthorized); ++value) {
+        const auto text = reasonText(static_cast<reason>(value));
+        BOOST_TEST(!text.empty());
+        BOOST_TEST((reasonFromText(text) == static_cast<reason>(value)));
+    }
+    BOOST_TEST(reasonText(reason::unauthorized) == "unauthorized");
+    BOOST_TEST(!reasonFromText("no_such_reason").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
