--- /dev/null
+++ b/src/config/config_follower.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "base/bounded_ring.h"
+#include "config/config_follower_settings.h"
+#include "job/entry_event.h"
+#include "log/decision_log.h"
+#include "platform/platform_log.h"
+
+#include <memory>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class config_follower_private;
+}
+
+/** Thread that follows the configuration on the platform log and brings each accepted one into force at this entry. */
+class config_follower
+{
+public:
+    /**
+     * Starts the thread.
+     * @param settings settings of the thread
+     * @param platform client of the platform log, used by this thread only; it must outlive the follower
+     * @param events ring of the decision thread, which gets rules_applied
+     * @param log receiver of the log lines; it must outlive the follower
+     */
+    config_follower(const config_follower_settings &settings, platform_log &platform, bounded_ring<entry_event> &events, decision_log &log);
+    ~config_follower();
+
+    config_follower(const config_follower &) = delete;
+    config_follower &operator=(const config_follower &) = delete;
+
+    /** Ends the thread after the read in progress. */
+    void stop();
+
+private:
+    std::unique_ptr<detail::config_follower_private> d;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/core/endpoint_status.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/agent_info.h"
+#include "core/endpoint_health.h"
+
+#include <cstdint>
+#include <string>
+
+namespace teaselward
+{
+
+/** State of one endpoint for operators. */
+struct endpoint_status {
+    agent_info info;
+    endpoint_health health = endpoint_health::healthy;
+    std::string why; ///< Short text for operators.
+    std::uint32_t credits = 0; ///< Free slot credits that this entry holds.
+    std::uint32_t outstanding = 0; ///< Tasks that this entry has started there.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/core/entry_status.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/endpoint_status.h"
+#include "core/entry_info.h"
+#include "core/queue_status.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace teaselward
+{
+
+/** State of an entry for operators. */
+struct entry_status {
+    entry_info self;
+    bool draining = false;
+    std::uint64_t rulesOffset = 0; ///< Log offset of the rules in force.
+    std::uint64_t runningJobs = 0;
+    std::uint64_t keptAnswers = 0; ///< Finished jobs whose answers are still kept.
+    std::vector<entry_info> peers;
+    std::vector<endpoint_status> endpoints;
+    std::vector<queue_status> queues;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/endpoint_client_settings.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace teaselward
+{
+
+/** Settings of the calls that an agent makes to its endpoint. */
+struct endpoint_client_settings {
+    std::string address; ///< IP:PORT of the endpoint.
+    std::uint32_t connections = 64; ///< Connections at once.
+    std::chrono::milliseconds connectTimeout = std::chrono::seconds(1);
+    std::size_t resultLimit = 4U << 20U; ///< Bytes of one result.
+    std::size_t ringCapacity = 1024; ///< Calls on their way to the thread.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/front_end.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "base/bounded_ring.h"
+#include "http/front_end_settings.h"
+#include "job/entry_action.h"
+#include "job/entry_event.h"
+#include "log/decision_log.h"
+
+#include <memory>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class front_end_private;
+}
+
+/**
+ * HTTP adapter of an entry towards callers and operators. It turns requests into events and actions into responses; it
+ * decides nothing. One thread parses requests, another one writes responses.
+ */
+class front_end
+{
+public:
+    /**
+     * Opens the listeners and starts the threads.
+     * @param settings settings of the listeners
+     * @param events ring of the decision thread; a request is refused as overloaded and not run while it is full
+     * @param log receiver of the log lines; it must outlive the adapter
+     * @throws std::system_error if a listener cannot be opened
+     */
+    front_end(const front_end_settings &settings, bounded_ring<entry_event> &events, decision_log &log);
+    ~front_end();
+
+    front_end(const front_end &) = delete;
+    front_end &operator=(const front_end &) = delete;
+
+    /**
+     * Hands over an answer: reply_tickets, reply_job or reply_status. It blocks while the ring of answers is full.
+     * @param reply the answer
+     * @return false if the adapter has stopped
+     */
+    bool post(entry_action reply);
+
+    /** Answers what is pending, closes the listeners and ends the threads. */
+    void stop();
+
+private:
+    std::unique_ptr<detail::front_end_private> d;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/front_end_settings.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace teaselward
+{
+
+/** Settings of the listeners for callers and operators. */
+struct front_end_settings {
+    std::string listen; ///< Address for callers as IP:PORT.
+    std::string adminListen; ///< Address for operators as IP:PORT; empty for no administration.
+    std::string adminToken; ///< Bearer token that operators must send; empty only on a loopback address.
+    std::string ticketKey; ///< Secret shared by the entries, from which the key of the ticket MAC is derived.
+    std::size_t bodyLimit = 4U << 20U; ///< Bytes of one request.
+    std::uint32_t connectionLimit = 4096; ///< Connections at once.
+    std::chrono::milliseconds idleTimeout = std::chrono::seconds(60); ///< A connection without traffic is closed after this time.
+    std::size_t ringCapacity = 8192; ///< Answers on their way to connections.
+};
+
+} // namespace teaselward
--- a/src/job/entry_action.h
+++ b/src/job/entry_action.h
@@ -6,6 +6,7 @@
 #include "job/action/forward_job.h"
 #include "job/action/forward_query.h"
 #include "job/action/reply_job.h"
+#include "job/action/reply_status.h"
 #include "job/action/reply_tickets.h"
 #include "job/action/report_usage.h"
 #include "job/action/revoke_task.h"
@@ -28,6 +29,7 @@
                                   forward_cancel,
                                   send_demand,
                                   report_usage,
+                                  reply_status,
                                   finish_drain>;
 
 } // namespace teaselward
--- a/src/job/entry_event.h
+++ b/src/job/entry_event.h
@@ -14,6 +14,7 @@
 #include "job/event/peer_reported.h"
 #include "job/event/rules_applied.h"
 #include "job/event/start_unanswered.h"
+#include "job/event/status_requested.h"
 #include "job/event/task_finished.h"
 #include "job/event/task_revoked.h"
 #include "job/event/ticket_fenced.h"
@@ -43,6 +44,7 @@
                                  peer_lost,
                                  peer_reported,
                                  rules_applied,
+                                 status_requested,
                                  timer_fired,
                                  drain_started>;
 
--- /dev/null
+++ b/src/job/event/status_requested.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/request_id.h"
+
+namespace teaselward
+{
+
+/** An operator asks for the state of the entry. */
+struct status_requested {
+    request_id request;
+};
+
+} // namespace teaselward
--- a/src/place/slot_table.h
+++ b/src/place/slot_table.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "core/agent_id.h"
 #include "core/agent_info.h"
+#include "core/endpoint_status.h"
 #include "core/task_outcome.h"
 
 #include <chrono>
@@ -103,6 +104,9 @@
      */
     mono_time nextDue() const;
 
+    /** @return state of every known endpoint */
+    std::vector<endpoint_status> status() const;
+
 private:
     std::unique_ptr<detail::slot_table_private> d;
 };
--- /dev/null
+++ b/src/rpc/agent_rpc.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "agent/agent_action.h"
+#include "agent/agent_event.h"
+#include "base/bounded_ring.h"
+#include "log/decision_log.h"
+#include "rpc/agent_rpc_settings.h"
+
+#include <memory>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class agent_rpc_private;
+}
+
+/**
+ * Cap'n Proto RPC adapter of an agent: connects to every entry, registers there and turns their calls into events and
+ * actions into answers. It decides nothing. One thread runs the event loop.
+ */
+class agent_rpc
+{
+public:
+    /**
+     * Starts the thread.
+     * @param settings settings of the connections
+     * @param events ring of the decision thread; the adapter blocks, and so stops reading, while it is full
+     * @param log receiver of the log lines; it must outlive the adapter
+     */
+    agent_rpc(const agent_rpc_settings &settings, bounded_ring<agent_event> &events, decision_log &log);
+    ~agent_rpc();
+
+    agent_rpc(const agent_rpc &) = delete;
+    agent_rpc &operator=(const agent_rpc &) = delete;
+
+    /**
+     * Hands over an answer or a message: answer_start, answer_revoke, answer_fence, grant_credits or announce_leaving.
+     * @param action the action; moved from only if it was taken
+     * @return false if the ring is full or the adapter has stopped
+     */
+    bool post(agent_action &&action);
+
+    /** Closes all connections and ends the thread. */
+    void stop();
+
+private:
+    std::unique_ptr<detail::agent_rpc_private> d;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/agent_rpc_settings.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/agent_info.h"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Settings of the connections of an agent to the entries. */
+struct agent_rpc_settings {
+    agent_info self;
+    std::vector<std::string> entries; ///< Addresses of entries as IP:PORT; further ones are learnt from these.
+    std::chrono::milliseconds lease = std::chrono::seconds(2); ///< A session without a message for this time is lost.
+    std::chrono::milliseconds heartbeat = std::chrono::milliseconds(500); ///< Sent when nothing else was sent for this time.
+    std::chrono::milliseconds reconnectLimit = std::chrono::seconds(2); ///< Longest delay of the jittered backoff.
+    std::size_t ringCapacity = 1024; ///< Commands on their way to the thread.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/entry_rpc_settings.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "core/entry_info.h"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Settings of the connections of an entry to agents and to other entries. */
+struct entry_rpc_settings {
+    entry_info self; ///< Its address is the one that the adapter listens on.
+    std::vector<std::string> peers; ///< Addresses of other entries as IP:PORT.
+    std::chrono::milliseconds lease = std::chrono::seconds(2); ///< A session without a message for this time is lost.
+    std::chrono::milliseconds heartbeat = std::chrono::milliseconds(500); ///< Sent when nothing else was sent for this time.
+    std::size_t ringCapacity = 8192; ///< Commands on their way to the thread.
+};
+
+} // namespace teaselward
--- a/src/share/task_queue.h
+++ b/src/share/task_queue.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "core/entry_id.h"
 #include "core/job_request.h"
+#include "core/queue_status.h"
 #include "core/rule_set.h"
 #include "core/task_outcome.h"
 #include "core/team_usage.h"
@@ -117,6 +118,9 @@
      */
     void setEntryCount(std::size_t entries);
 
+    /** @return state of the queue of every kind and team */
+    std::vector<queue_status> status() const;
+
 private:
     std::unique_ptr<detail::task_queue_private> d;
 };
