Place tasks by strategies over a constant-time index

Cause: the thin slot table searched all endpoints for each task and knew no health. Change: levels per set of kinds and failure domain, strategies in a table, a sequential test for failing endpoints with probes, holds for saturated ones, limits for stragglers. The allocator tells every entry all free slots and lets the agent hold a start that collides.

--- a/src/place/credit_allocator.cpp
+++ b/src/place/credit_allocator.cpp
@@ -1,12 +1,18 @@
 #include "place/credit_allocator.h"
 
-#include <absl/container/flat_hash_map.h>
-
-#include <algorithm>
+#include "place/credit_policies.h"
 
 namespace teaselward
 {
 
+namespace
+{
+
+// Enough for every entry to collide at once; above it a start has better chances at another endpoint.
+constexpr std::uint32_t HeldPerSlot = 2;
+
+} // namespace
+
 namespace detail
 {
 
@@ -14,102 +20,195 @@
 class credit_allocator_private
 {
 public:
-    /** Credits and running tasks of one entry. */
-    struct account {
-        std::int32_t granted = 0;
-        std::uint32_t running = 0;
-        bool connected = false;
+    /** An entry and its account. The few entries are kept in the order of their arrival. */
+    struct member {
+        entry_id entry;
+        credit_account account;
     };
 
-    std::uint32_t slots = 0;
-    std::uint32_t running = 0;
+    credit_totals totals;
     bool closed = false;
-    absl::flat_hash_map<entry_id, account> accounts;
+    std::unique_ptr<credit_policy> policy;
+    std::vector<member> members;
+
+    credit_account *find(const entry_id &entry)
+    {
+        for (member &item : members) {
+            if (item.entry == entry) {
+                return &item.account;
+            }
+        }
+        return nullptr;
+    }
+
+    credit_account &findOrAdd(const entry_id &entry)
+    {
+        credit_account *found = find(entry);
+        return found != nullptr ? *found : members.emplace_back(member{entry, {}}).account;
+    }
 
-    // Divides the slots equally among the connected entries; an entry above its part gives idle credits back.
-    std::vector<credit_grant> divide()
+    // Forgets entries that are lost and have nothing left here.
+    void dropUnused()
     {
-        std::vector<credit_grant> grants;
-        const auto connected = std::count_if(accounts.begin(), accounts.end(), [](const auto &item) {
-            return item.second.connected;
+        std::erase_if(members, [](const member &item) {
+            return !item.account.connected && item.account.running == 0 && item.account.held == 0;
         });
-        if (closed || connected == 0) {
-            return grants;
+    }
+
+    // Brings the credits of one entry to their target.
+    void settle(const entry_id &entry, credit_account &account, std::vector<credit_grant> &grants) const
+    {
+        if (closed || !account.connected) {
+            return;
+        }
+        const std::int32_t delta = policy->target(account, totals) - account.granted;
+        if (delta != 0) {
+            account.granted += delta;
+            grants.push_back({entry, delta});
+        }
+    }
+
+    // Brings the credits of all entries to their targets if the policy wants it.
+    void settleOthers(const entry_id &entry, std::vector<credit_grant> &grants)
+    {
+        if (!policy->redividesOnChange()) {
+            return;
         }
-        const auto part = std::max<std::int32_t>(1, static_cast<std::int32_t>(slots) / static_cast<std::int32_t>(connected));
-        for (auto &[entry, account] : accounts) {
-            const std::int32_t wanted = std::max<std::int32_t>(0, part - static_cast<std::int32_t>(account.running));
-            if (account.connected && wanted != account.granted) {
-                grants.push_back({entry, wanted - account.granted});
-                account.granted = wanted;
+        for (member &item : members) {
+            if (!(item.entry == entry)) {
+                settle(item.entry, item.account, grants);
             }
         }
-        return grants;
     }
 };
 
 } // namespace detail
 
-credit_allocator::credit_allocator(std::uint32_t slots)
+credit_allocator::credit_allocator(std::uint32_t slots, std::string_view policy)
     : d(std::make_unique<detail::credit_allocator_private>())
 {
-    d->slots = slots;
+    d->totals.slots = slots;
+    d->policy = makeCreditPolicy(policy);
 }
 
 credit_allocator::~credit_allocator() = default;
 
 std::vector<credit_grant> credit_allocator::join(const entry_id &entry, mono_time /*now*/)
 {
-    auto &account = d->accounts[entry];
-    account.granted = 0;
+    credit_account &account = d->findOrAdd(entry);
+    d->totals.entries += account.connected ? 0 : 1;
     account.connected = true;
-    return d->divide();
+    account.granted = 0;
+    account.demand = 0;
+    std::vector<credit_grant> grants;
+    d->settle(entry, account, grants);
+    d->settleOthers(entry, grants);
+    return grants;
 }
 
 std::vector<credit_grant> credit_allocator::lose(const entry_id &entry, mono_time /*now*/)
 {
-    const auto found = d->accounts.find(entry);
-    if (found == d->accounts.end()) {
+    credit_account *account = d->find(entry);
+    if (account == nullptr || !account->connected) {
         return {};
     }
-    found->second.granted = 0;
-    found->second.connected = false;
-    if (found->second.running == 0) {
-        d->accounts.erase(found);
-    }
-    return d->divide();
+    account->connected = false;
+    account->granted = 0;
+    account->demand = 0;
+    --d->totals.entries;
+    d->dropUnused();
+    std::vector<credit_grant> grants;
+    d->settleOthers(entry, grants);
+    return grants;
 }
 
-std::vector<credit_grant> credit_allocator::setDemand(const entry_id & /*entry*/, std::uint32_t /*queued*/, mono_time /*now*/)
+std::vector<credit_grant> credit_allocator::setDemand(const entry_id &entry, std::uint32_t queued, mono_time /*now*/)
 {
-    return {};
+    credit_account *account = d->find(entry);
+    if (account == nullptr || !account->connected || d->closed) {
+        return {};
+    }
+    account->demand = queued;
+    const std::int32_t delta = d->policy->urgentGrant(*account, d->totals);
+    if (delta == 0) {
+        return {};
+    }
+    account->granted += delta;
+    return {{entry, delta}};
 }
 
-// Both sides count a credit as used even if the start is refused, so that their counts agree without a further message.
+// A start without a credit is accepted too if a slot is free, since a recall may have crossed it.
 bool credit_allocator::take(const entry_id &entry)
 {
-    auto &account = d->accounts[entry];
-    --account.granted;
-    if (d->closed || d->running >= d->slots) {
+    if (d->closed || d->totals.running >= d->totals.slots) {
         return false;
     }
+    credit_account &account = d->findOrAdd(entry);
+    --account.granted;
     ++account.running;
-    ++d->running;
+    ++d->totals.running;
     return true;
 }
 
-std::vector<credit_grant> credit_allocator::release(const entry_id &entry, mono_time /*now*/)
+bool credit_allocator::hold(const entry_id &entry)
+{
+    if (d->closed || d->totals.held >= HeldPerSlot * d->totals.slots) {
+        return false;
+    }
+    credit_account &account = d->findOrAdd(entry);
+    --account.granted;
+    ++account.held;
+    ++d->totals.held;
+    return true;
+}
+
+std::optional<entry_id> credit_allocator::takeHeld()
 {
-    const auto found = d->accounts.find(entry);
-    if (found == d->accounts.end() || found->second.running == 0) {
+    if (d->closed || d->totals.running >= d->totals.slots) {
+        return std::nullopt;
+    }
+    detail::credit_allocator_private::member *chosen = nullptr;
+    for (auto &item : d->members) {
+        if (item.account.held > 0 && (chosen == nullptr || item.account.running < chosen->account.running)) {
+            chosen = &item;
+        }
+    }
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    --chosen->account.held;
+    --d->totals.held;
+    ++chosen->account.running;
+    ++d->totals.running;
+    return chosen->entry;
+}
+
+std::vector<credit_grant> credit_allocator::dropHeld(const entry_id &entry, mono_time /*now*/)
+{
+    credit_account *account = d->find(entry);
+    if (account == nullptr || account->held == 0) {
         return {};
     }
-    --found->second.running;
-    --d->running;
-    if (!found->second.connected && found->second.running == 0) {
-        d->accounts.erase(found);
+    --account->held;
+    --d->totals.held;
+    std::vector<credit_grant> grants;
+    d->settle(entry, *account, grants);
+    d->dropUnused();
+    return grants;
+}
+
+std::vector<credit_grant> credit_allocator::release(const entry_id &entry, mono_time /*now*/)
+{
+    credit_account *account = d->find(entry);
+    if (account == nullptr || account->running == 0) {
+        return {};
     }
-    return d->divide();
+    --account->running;
+    --d->totals.running;
+    std::vector<credit_grant> grants;
+    d->settle(entry, *account, grants);
+    d->dropUnused();
+    return grants;
 }
 
 void credit_allocator::close()
--- a/src/place/credit_allocator.h
+++ b/src/place/credit_allocator.h
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
+#include <string_view>
 #include <vector>
 
 namespace teaselward
@@ -18,8 +20,12 @@
 
 /**
  * Divides the slots of one endpoint among the entries that compete for them. It belongs to the agent, and the agent's
- * decision thread is its only user. Credits granted and tasks running never add up to more than the slots, except while a
- * credit that is being taken back is still on its way.
+ * decision thread is its only user. Tasks running never exceed the slots. Credits may: several entries may be told the same
+ * free slot. A start that finds no free slot is held by the agent, in a queue of its own, until a task ends.
+ *
+ * For each start the agent calls take(), and if that fails hold(). A start that is neither taken nor held, as well as one
+ * that is answered from the record, returns its credit: the answer carries one credit. After every release() and dropHeld()
+ * the agent calls takeHeld() until it returns nothing.
  */
 class credit_allocator
 {
@@ -27,8 +33,10 @@
     /**
      * Creates an allocator with all slots free.
      * @param slots tasks that the endpoint runs at once
+     * @param policy name in the table of credit policies
+     * @throws std::out_of_range if there is no such policy
      */
-    explicit credit_allocator(std::uint32_t slots);
+    explicit credit_allocator(std::uint32_t slots, std::string_view policy = "shared");
     ~credit_allocator();
 
     credit_allocator(const credit_allocator &) = delete;
@@ -51,7 +59,7 @@
     std::vector<credit_grant> lose(const entry_id &entry, mono_time now);
 
     /**
-     * Records how many tasks wait at an entry.
+     * Records how many tasks wait at an entry. For the demand that comes with a start it is called after take() or hold().
      * @param entry the entry
      * @param queued number of tasks
      * @param now present time
@@ -60,12 +68,33 @@
     std::vector<credit_grant> setDemand(const entry_id &entry, std::uint32_t queued, mono_time now);
 
     /**
-     * Uses one credit of an entry for a start.
+     * Uses one credit of an entry for a start and gives it a slot.
      * @param entry the entry
-     * @return false if no slot is free for it; the start must then be answered as not started
+     * @return false if no slot is free; the credit is then not used
      */
     bool take(const entry_id &entry);
 
+    /**
+     * Uses one credit of an entry for a start that waits at the agent until a slot is free.
+     * @param entry the entry
+     * @return false if too many starts wait; the credit is then not used and the start is answered as not started
+     */
+    bool hold(const entry_id &entry);
+
+    /**
+     * Gives a free slot to a held start, first to the entry with the fewest running tasks.
+     * @return the entry whose oldest held start is to run now, or nothing if no slot is free or no start is held
+     */
+    std::optional<entry_id> takeHeld();
+
+    /**
+     * Forgets a held start that is answered as not started, since it was revoked or waited too long.
+     * @param entry the entry
+     * @param now present time
+     * @return changes to send; the one for the same entry is returned with the answer
+     */
+    std::vector<credit_grant> dropHeld(const entry_id &entry, mono_time now);
+
     /**
      * Frees the slot of a task that ended.
      * @param entry entry that had ordered the start
--- /dev/null
+++ b/src/place/credit_policy.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "place/credit_account.h"
+#include "place/credit_totals.h"
+
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** Rule by which an agent divides its slots among the entries. */
+class credit_policy
+{
+public:
+    virtual ~credit_policy() = default;
+
+    /**
+     * Credits that an entry is to hold. The difference to what it holds is sent with the next outcome and costs no message.
+     * @param entry the entry
+     * @param totals sums over all entries
+     */
+    virtual std::int32_t target(const credit_account &entry, const credit_totals &totals) const = 0;
+
+    /**
+     * Credits to send at once in a message of their own, since the entry has tasks waiting.
+     * @param entry the entry
+     * @param totals sums over all entries
+     */
+    virtual std::int32_t urgentGrant(const credit_account &entry, const credit_totals &totals) const = 0;
+
+    /** @return whether every entry is told its new target at once when an entry joins or is lost */
+    virtual bool redividesOnChange() const = 0;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/place/equal_credit_policy.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "place/credit_policy.h"
+
+namespace teaselward
+{
+
+/** Baseline: every entry has the same fixed part of the slots. */
+class equal_credit_policy : public credit_policy
+{
+public:
+    std::int32_t target(const credit_account &entry, const credit_totals &totals) const override;
+    std::int32_t urgentGrant(const credit_account &entry, const credit_totals &totals) const override;
+    bool redividesOnChange() const override;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/place/health_monitor.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/clock.h"
+#include "core/task_outcome.h"
+#include "place/endpoint_record.h"
+#include "place/kind_record.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** Judges endpoints by the outcomes of their tasks, compared with the other endpoints of the same kind. */
+class health_monitor
+{
+public:
+    /**
+     * Applies an outcome to the health of an endpoint.
+     * @param endpoint the endpoint
+     * @param kindIndex index of the kind
+     * @param kind what is known about the kind; updated too
+     * @param outcome outcome of a task of the kind
+     * @param now present time
+     */
+    void record(endpoint_record &endpoint, std::size_t kindIndex, kind_record &kind, const task_outcome &outcome, mono_time now) const;
+
+    /**
+     * Tells how many tasks an endpoint may have at once, so that a straggler gets less work.
+     * @param endpoint the endpoint
+     * @return its slots, or a part of them if its run times are far above the usual ones
+     */
+    static std::uint32_t limit(const endpoint_record &endpoint);
+
+private:
+    static void recordRun(endpoint_record &endpoint, std::size_t kindIndex, kind_record &kind, bool failed, mono_time now);
+    static void recordRunTime(endpoint_record &endpoint, kind_record &kind, const task_outcome &outcome);
+    static void recordSaturation(endpoint_record &endpoint, mono_time now);
+    static void recordProbe(endpoint_record &endpoint, bool failed, mono_time now);
+};
+
+} // namespace teaselward
--- a/src/place/slot_table.cpp
+++ b/src/place/slot_table.cpp
@@ -1,128 +1,167 @@
 #include "place/slot_table.h"
 
+#include "place/slot_table_private.h"
+
 #include <algorithm>
-#include <limits>
-#include <stdexcept>
-#include <vector>
 
 namespace teaselward
 {
 
-namespace detail
+namespace
 {
 
-/** State of slot_table. */
-class slot_table_private
+// Short text for operators; the order is that of the importance.
+endpoint_health healthOf(const endpoint_record &record, mono_time now, std::string &why)
 {
-public:
-    /** One known endpoint. */
-    struct record {
-        agent_info info;
-        std::int32_t credits = 0;
-        std::uint32_t outstanding = 0;
-        bool usable = true;
-    };
-
-    std::vector<record> records;
-
-    record *find(const agent_id &agent)
-    {
-        const auto found = std::find_if(records.begin(), records.end(), [&](const record &item) {
-            return item.info.id == agent;
-        });
-        return found == records.end() ? nullptr : &*found;
+    if (!record.connected) {
+        why = record.info.leaving ? "announced that it stops" : "not connected";
+        return record.info.leaving ? endpoint_health::leaving : endpoint_health::lost;
     }
-
-    record *findFree(std::string_view kind)
-    {
-        const auto found = std::find_if(records.begin(), records.end(), [&](const record &item) {
-            return item.usable && item.credits > 0 && offers(item, kind);
-        });
-        return found == records.end() ? nullptr : &*found;
+    if (record.excluded) {
+        why = "fails what it starts; probed every " + std::to_string(record.probeInterval.count()) + " ms";
+        return endpoint_health::failing;
     }
-
-    static bool offers(const record &item, std::string_view kind)
-    {
-        return std::find(item.info.kinds.begin(), item.info.kinds.end(), kind) != item.info.kinds.end();
+    if (record.holdUntil > now) {
+        why = "refused a start";
+        return endpoint_health::saturated;
     }
-};
+    if (health_monitor::limit(record) < record.info.slots) {
+        why = "slow; limited to " + std::to_string(health_monitor::limit(record)) + " tasks";
+    }
+    return endpoint_health::healthy;
+}
 
-} // namespace detail
+} // namespace
 
-slot_table::slot_table(std::string_view strategy, std::uint64_t /*seed*/)
-    : d(std::make_unique<detail::slot_table_private>())
+slot_table::slot_table(std::string_view strategy, std::uint64_t seed)
+    : d(std::make_unique<detail::slot_table_private>(strategy, seed))
 {
-    if (strategy != "credits") {
-        throw std::out_of_range("no such placement strategy: " + std::string(strategy));
-    }
 }
 
 slot_table::~slot_table() = default;
 
-void slot_table::join(const agent_info &info, std::uint32_t credits, std::chrono::milliseconds /*lease*/, mono_time /*now*/)
+void slot_table::join(const agent_info &info, std::uint32_t credits, std::chrono::milliseconds /*lease*/, mono_time now)
 {
-    auto *record = d->find(info.id);
-    if (record == nullptr) {
-        record = &d->records.emplace_back();
+    d->applyDue(now);
+    const std::size_t index = d->findOrAdd(info.id);
+    d->disconnect(index);
+    endpoint_record &record = d->endpoints[index];
+    record.info = info;
+    record.pool = d->poolIndex(info);
+    record.credits = static_cast<std::int32_t>(credits);
+    record.connected = !info.leaving;
+    if (!record.connected) {
+        return;
+    }
+    for (const std::string &kind : d->pools[record.pool].kinds) {
+        d->kinds[d->kindIndex(kind)].slots += info.slots;
+    }
+    if (record.excluded) {
+        d->schedule(index, std::max(now, record.nextProbe));
     }
-    record->info = info;
-    record->credits = static_cast<std::int32_t>(credits);
-    record->usable = !info.leaving;
+    d->refresh(index, now);
 }
 
 void slot_table::leave(const agent_id &agent)
 {
-    if (auto *record = d->find(agent)) {
-        record->usable = false;
-        record->credits = 0;
+    const auto found = d->agents.find(agent);
+    if (found != d->agents.end() && d->endpoints[found->second].connected) {
+        d->disconnect(found->second);
+        d->lost.push_back(agent);
+        d->dropLost();
     }
 }
 
 void slot_table::addCredits(const agent_id &agent, std::int32_t delta)
 {
-    if (auto *record = d->find(agent)) {
-        record->credits += delta;
+    const auto found = d->agents.find(agent);
+    if (found != d->agents.end() && d->endpoints[found->second].connected) {
+        d->endpoints[found->second].credits += delta;
+        d->refresh(found->second, d->latest);
     }
 }
 
-bool slot_table::isPlaceable(std::string_view kind, mono_time /*now*/)
+bool slot_table::isPlaceable(std::string_view kind, mono_time now)
 {
-    return d->findFree(kind) != nullptr;
+    d->applyDue(now);
+    const auto found = d->kindNames.find(kind);
+    if (found == d->kindNames.end()) {
+        return false;
+    }
+    const auto &pools = d->kinds[found->second].pools;
+    return std::any_of(pools.begin(),
+                       pools.end(),
+                       [this](std::size_t pool) {
+                           return d->pools[pool].highest() > 0;
+                       })
+        || d->findProbe(found->second) < d->probes.size();
 }
 
-std::optional<agent_id> slot_table::acquire(std::string_view kind, mono_time /*now*/)
+std::optional<agent_id> slot_table::acquire(std::string_view kind, mono_time now)
 {
-    auto *record = d->findFree(kind);
-    if (record == nullptr) {
+    d->applyDue(now);
+    const auto found = d->kindNames.find(kind);
+    if (found == d->kindNames.end()) {
         return std::nullopt;
     }
-    --record->credits;
-    ++record->outstanding;
-    return record->info.id;
+    std::size_t index = 0;
+    const std::size_t probe = d->findProbe(found->second);
+    if (probe < d->probes.size()) {
+        index = d->probes[probe];
+        d->probes.erase(d->probes.begin() + static_cast<std::ptrdiff_t>(probe));
+        d->endpoints[index].probeDue = false;
+        d->endpoints[index].probing = true;
+    } else {
+        d->candidates.clear();
+        for (const std::size_t pool : d->kinds[found->second].pools) {
+            if (d->pools[pool].highest() > 0) {
+                d->candidates.push_back(&d->pools[pool]);
+            }
+        }
+        if (d->candidates.empty()) {
+            return std::nullopt;
+        }
+        index = d->strategy->choose(d->candidates, d->random, d->probe);
+    }
+    endpoint_record &record = d->endpoints[index];
+    --record.credits;
+    ++record.outstanding;
+    d->refresh(index, now);
+    return record.info.id;
 }
 
-void slot_table::release(const agent_id &agent, std::string_view /*kind*/, const task_outcome & /*outcome*/, std::int32_t credits, mono_time /*now*/)
+void slot_table::release(const agent_id &agent, std::string_view kind, const task_outcome &outcome, std::int32_t credits, mono_time now)
 {
-    if (auto *record = d->find(agent)) {
-        record->outstanding -= std::min<std::uint32_t>(record->outstanding, 1);
-        record->credits += credits;
+    d->applyDue(now);
+    const auto found = d->agents.find(agent);
+    if (found == d->agents.end()) {
+        return;
+    }
+    endpoint_record &record = d->endpoints[found->second];
+    record.outstanding -= std::min<std::uint32_t>(record.outstanding, 1);
+    record.credits += record.connected ? credits : 0;
+    const std::size_t kindIndex = d->kindIndex(kind);
+    d->health.record(record, kindIndex, d->kinds[kindIndex], outcome, now);
+    if (record.excluded && !record.probing && !record.probeDue) {
+        d->schedule(found->second, record.nextProbe);
+    }
+    if (record.holdUntil > now) {
+        d->schedule(found->second, record.holdUntil);
     }
+    d->refresh(found->second, now);
 }
 
 std::size_t slot_table::slots(std::string_view kind) const
 {
-    std::size_t sum = 0;
-    for (const auto &record : d->records) {
-        sum += record.usable && d->offers(record, kind) ? record.info.slots : 0;
-    }
-    return sum;
+    const auto found = d->kindNames.find(kind);
+    return found == d->kindNames.end() ? 0 : d->kinds[found->second].slots;
 }
 
 std::vector<agent_id> slot_table::agents() const
 {
     std::vector<agent_id> found;
-    for (const auto &record : d->records) {
-        if (record.usable) {
+    for (const endpoint_record &record : d->endpoints) {
+        if (record.connected) {
             found.push_back(record.info.id);
         }
     }
@@ -131,16 +170,17 @@
 
 mono_time slot_table::nextDue() const
 {
-    return mono_time::max();
+    return d->due.empty() ? mono_time::max() : d->due.top().first;
 }
 
 std::vector<endpoint_status> slot_table::status() const
 {
     std::vector<endpoint_status> found;
-    for (const auto &record : d->records) {
+    for (const auto &[agent, index] : d->agents) {
+        const endpoint_record &record = d->endpoints[index];
         endpoint_status item;
         item.info = record.info;
-        item.health = record.usable ? endpoint_health::healthy : endpoint_health::lost;
+        item.health = healthOf(record, d->latest, item.why);
         item.credits = static_cast<std::uint32_t>(std::max(0, record.credits));
         item.outstanding = record.outstanding;
         found.push_back(std::move(item));
@@ -148,4 +188,11 @@
     return found;
 }
 
+void slot_table::setLoadProbe(std::function<std::uint32_t(const agent_id &)> probe)
+{
+    d->probe = [this, asked = std::move(probe)](std::size_t index) {
+        return asked(d->endpoints[index].info.id);
+    };
+}
+
 } // namespace teaselward
--- a/src/place/slot_table.h
+++ b/src/place/slot_table.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -107,6 +108,12 @@
     /** @return state of every known endpoint */
     std::vector<endpoint_status> status() const;
 
+    /**
+     * Sets how the baseline strategy two_choices asks an agent for its load; without it the entry's own count is used.
+     * @param probe gives the tasks that run or wait at an agent
+     */
+    void setLoadProbe(std::function<std::uint32_t(const agent_id &)> probe);
+
 private:
     std::unique_ptr<detail::slot_table_private> d;
 };
--- /dev/null
+++ b/src/place/slot_table_private.cpp
@@ -0,0 +1,151 @@
+#include "place/slot_table_private.h"
+
+#include <algorithm>
+
+namespace teaselward::detail
+{
+
+namespace
+{
+
+constexpr std::size_t KeptLost = 256; // An endpoint that reconnects soon keeps its health; a day's restarts must not add up.
+
+} // namespace
+
+endpoint_record *slot_table_private::find(const agent_id &agent)
+{
+    const auto found = agents.find(agent);
+    return found == agents.end() ? nullptr : &endpoints[found->second];
+}
+
+std::size_t slot_table_private::findOrAdd(const agent_id &agent)
+{
+    const auto [found, added] = agents.try_emplace(agent, endpoints.size());
+    if (!added) {
+        return found->second;
+    }
+    if (unused.empty()) {
+        endpoints.emplace_back();
+    } else {
+        found->second = unused.back();
+        unused.pop_back();
+    }
+    return found->second;
+}
+
+std::size_t slot_table_private::kindIndex(std::string_view kind)
+{
+    const auto found = kindNames.find(kind);
+    if (found != kindNames.end()) {
+        return found->second;
+    }
+    kindNames.emplace(kind, kinds.size());
+    kinds.emplace_back();
+    return kinds.size() - 1;
+}
+
+// The number of pools is the number of distinct sets of kinds times the failure domains, which stays small.
+std::size_t slot_table_private::poolIndex(const agent_info &info)
+{
+    std::vector<std::string> sorted = info.kinds;
+    std::sort(sorted.begin(), sorted.end());
+    sorted.erase(std::unique(sorted.begin(), sorted.end()), sorted.end());
+    const auto found = std::find_if(pools.begin(), pools.end(), [&](const endpoint_pool &pool) {
+        return pool.failureDomain == info.failureDomain && pool.kinds == sorted;
+    });
+    if (found != pools.end()) {
+        return static_cast<std::size_t>(found - pools.begin());
+    }
+    endpoint_pool &pool = pools.emplace_back();
+    pool.kinds = std::move(sorted);
+    pool.failureDomain = info.failureDomain;
+    for (const std::string &kind : pool.kinds) {
+        kinds[kindIndex(kind)].pools.push_back(pools.size() - 1);
+    }
+    return pools.size() - 1;
+}
+
+void slot_table_private::disconnect(std::size_t index)
+{
+    endpoint_record &record = endpoints[index];
+    if (!record.connected) {
+        return;
+    }
+    record.connected = false;
+    record.credits = 0;
+    record.probing = false;
+    for (const std::string &kind : pools[record.pool].kinds) {
+        kinds[kindIndex(kind)].slots -= record.info.slots;
+    }
+    refresh(index, latest);
+}
+
+// An endpoint is in the index only if a task may go there at once; probes are kept apart.
+void slot_table_private::refresh(std::size_t index, mono_time now)
+{
+    endpoint_record &record = endpoints[index];
+    const bool fit = record.connected && !record.excluded && record.holdUntil <= now;
+    std::uint32_t level = 0;
+    if (fit) {
+        const std::uint32_t limit = health_monitor::limit(record);
+        level = limit == record.info.slots ? strategy->level(record) : std::min(strategy->level(record), limit - std::min(limit, record.outstanding));
+    }
+    if (level != record.level) {
+        pools[record.pool].setLevel(endpoints, index, level);
+    }
+}
+
+void slot_table_private::applyDue(mono_time now)
+{
+    latest = std::max(latest, now);
+    while (!due.empty() && due.top().first <= now) {
+        const std::size_t index = due.top().second;
+        due.pop();
+        endpoint_record &record = endpoints[index];
+        if (record.connected && record.excluded && !record.probing && !record.probeDue && record.nextProbe <= now) {
+            record.probeDue = true;
+            probes.push_back(index);
+        }
+        refresh(index, now);
+    }
+}
+
+void slot_table_private::schedule(std::size_t index, mono_time when)
+{
+    due.emplace(when, index);
+}
+
+std::size_t slot_table_private::findProbe(std::size_t kind) const
+{
+    for (std::size_t i = 0; i < probes.size(); ++i) {
+        const endpoint_record &record = endpoints[probes[i]];
+        const auto &offered = kinds[kind].pools;
+        const bool offers = std::find(offered.begin(), offered.end(), record.pool) != offered.end();
+        if (record.connected && offers && record.holdUntil <= latest && strategy->level(record) > 0) {
+            return i;
+        }
+    }
+    return probes.size();
+}
+
+void slot_table_private::dropLost()
+{
+    while (lost.size() > KeptLost) {
+        const auto found = agents.find(lost.front());
+        lost.pop_front();
+        if (found == agents.end() || endpoints[found->second].connected) {
+            continue;
+        }
+        const std::size_t index = found->second;
+        for (const endpoint_kind_stats &stats : endpoints[index].kinds) {
+            kinds[stats.kind].failureSum -= stats.failureRatio;
+            --kinds[stats.kind].reporting;
+        }
+        std::erase(probes, index);
+        endpoints[index] = endpoint_record{};
+        unused.push_back(index);
+        agents.erase(found);
+    }
+}
+
+} // namespace teaselward::detail
--- /dev/null
+++ b/src/place/slot_table_private.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "place/slot_table.h"
+
+#include "place/endpoint_pool.h"
+#include "place/endpoint_record.h"
+#include "place/health_monitor.h"
+#include "place/kind_record.h"
+#include "place/placement_strategies.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace teaselward::detail
+{
+
+/** State of slot_table. */
+class slot_table_private
+{
+public:
+    using due_entry = std::pair<mono_time, std::size_t>;
+
+    slot_table_private(std::string_view strategyName, std::uint64_t seed)
+        : strategy(makePlacementStrategy(strategyName))
+        , random(seed)
+    {
+    }
+
+    /** @return the endpoint of an agent, or null */
+    endpoint_record *find(const agent_id &agent);
+
+    /** Finds or creates the endpoint of an agent. */
+    std::size_t findOrAdd(const agent_id &agent);
+
+    /** Finds or creates the index of a kind. */
+    std::size_t kindIndex(std::string_view kind);
+
+    /** Finds or creates the pool of the endpoint's kinds and failure domain. */
+    std::size_t poolIndex(const agent_info &info);
+
+    /** Takes an endpoint out of placement and out of the number of slots. */
+    void disconnect(std::size_t index);
+
+    /** Recomputes the level of an endpoint after any change. */
+    void refresh(std::size_t index, mono_time now);
+
+    /** Applies the holds and probes that are due. */
+    void applyDue(mono_time now);
+
+    /** Asks to look at an endpoint again at a later time. */
+    void schedule(std::size_t index, mono_time when);
+
+    /** Finds an excluded endpoint that is due for a probe; gives its position in probes, or the number of probes. */
+    std::size_t findProbe(std::size_t kind) const;
+
+    /** Drops the oldest endpoints that are not connected, so that restarts do not fill the memory. */
+    void dropLost();
+
+    std::unique_ptr<placement_strategy> strategy;
+    random_source random;
+    health_monitor health;
+    placement_strategy::load_probe probe = [this](std::size_t index) {
+        return endpoints[index].outstanding;
+    };
+    std::deque<endpoint_record> endpoints;
+    std::vector<std::size_t> unused; ///< Positions among the endpoints that can be used again.
+    std::deque<agent_id> lost; ///< Agents that left, in order.
+    absl::flat_hash_map<agent_id, std::size_t> agents;
+    std::map<std::string, std::size_t, std::less<>> kindNames;
+    std::deque<kind_record> kinds;
+    std::deque<endpoint_pool> pools;
+    std::vector<const endpoint_pool *> candidates; ///< Kept between calls, so that a choice allocates nothing.
+    std::vector<std::size_t> probes; ///< Excluded endpoints that are due for a probe.
+    std::priority_queue<due_entry, std::vector<due_entry>, std::greater<>> due;
+    mono_time latest{}; ///< Latest time that a caller gave.
+};
+
+} // namespace teaselward::detail
--- /dev/null
+++ b/src/place/two_choices_strategy.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "place/placement_strategy.h"
+
+namespace teaselward
+{
+
+/** Baseline: probes two endpoints for each task and takes the one with less load. */
+class two_choices_strategy : public placement_strategy
+{
+public:
+    std::uint32_t level(const endpoint_record &endpoint) const override;
+    std::size_t choose(std::span<const endpoint_pool *const> pools, random_source &random, const load_probe &probe) const override;
+};
+
+} // namespace teaselward
