Share slots by weighted fair queueing and admit by measured run times

Cause: the thin queue was first in, first out and searched all tasks. Change: virtual time between kinds and between teams of a kind, floors, bounded queues with room for each team, refusal by measured backlog, quotas split by the demand of the peers' reports, refusal of a kind that fails everywhere.

--- /dev/null
+++ b/src/share/run_time_estimate.cpp
@@ -0,0 +1,28 @@
+#include "share/run_time_estimate.h"
+
+#include <algorithm>
+
+namespace teaselward
+{
+
+namespace
+{
+
+constexpr double Step = 1.0 / 128; // Part of the newest measurement; one task of several seconds moves the mean by little.
+constexpr std::uint64_t ReliableCount = 16;
+
+} // namespace
+
+void run_time_estimate::add(std::chrono::microseconds runTime)
+{
+    ++m_count;
+    const double seconds = std::chrono::duration<double>(runTime).count();
+    m_mean += std::max(Step, 1.0 / static_cast<double>(m_count)) * (seconds - m_mean);
+}
+
+bool run_time_estimate::isReliable() const
+{
+    return m_count >= ReliableCount;
+}
+
+} // namespace teaselward
--- a/src/share/task_queue.cpp
+++ b/src/share/task_queue.cpp
@@ -1,23 +1,11 @@
 #include "share/task_queue.h"
 
-#include <algorithm>
-#include <deque>
+#include "share/task_queue_private.h"
 
-namespace teaselward
-{
-
-namespace detail
-{
+#include <utility>
 
-/** State of task_queue. */
-class task_queue_private
+namespace teaselward
 {
-public:
-    std::shared_ptr<const rule_set> rules = std::make_shared<rule_set>();
-    std::deque<queued_task> tasks;
-};
-
-} // namespace detail
 
 task_queue::task_queue()
     : d(std::make_unique<detail::task_queue_private>())
@@ -29,91 +17,163 @@
 void task_queue::setRules(std::shared_ptr<const rule_set> rules)
 {
     d->rules = std::move(rules);
+    d->applyRules();
 }
 
-admission_result task_queue::admit(const job_request &job, std::size_t /*slots*/, mono_time /*now*/)
+admission_result task_queue::admit(const job_request &job, std::size_t slots, mono_time now)
 {
-    const auto kind = d->rules->kinds.find(job.kind);
-    if (kind == d->rules->kinds.end()) {
+    if (!d->rules->kinds.contains(job.kind)) {
         return {reason::unknownKind, {}};
     }
     if (!d->rules->teams.empty() && !d->rules->teams.contains(job.team)) {
         return {reason::unknownTeam, {}};
     }
-    const auto queued = std::count_if(d->tasks.begin(), d->tasks.end(), [&](const queued_task &task) {
-        return task.kind == job.kind;
-    });
-    if (static_cast<std::size_t>(queued) + job.payloads.size() > kind->second.queueLimit) {
-        return {reason::queueFull, std::chrono::seconds(1)};
+    kind_queue &kind = d->kinds[d->findKind(job.kind)];
+    const std::size_t team = kind.teamIndex(job.team, d->teamWeight(job.team));
+    const admission_result result = d->decide(kind, team, job, slots, now);
+    const std::size_t tasks = job.payloads.size();
+    if (result.why != reason::none) {
+        kind.teams[team].refused += tasks;
+        return result;
     }
-    return {};
+    kind.teams[team].admitted += tasks;
+    kind.addInProgress(team, static_cast<std::int64_t>(tasks));
+    d->quotas.add(job.team, static_cast<std::int64_t>(tasks));
+    return result;
 }
 
 void task_queue::push(queued_task task, mono_time /*now*/)
 {
-    d->tasks.push_back(std::move(task));
+    const auto job = d->findOrAddJob(task, false);
+    job->tasks.push_back(std::move(task));
+    d->countQueued(*job, 1);
 }
 
+// The charge is refunded, since the next start charges it again.
 void task_queue::putBack(queued_task task)
 {
-    d->tasks.push_front(std::move(task));
+    const auto job = d->findOrAddJob(task, true);
+    job->tasks.push_front(std::move(task));
+    d->countQueued(*job, 1);
+    kind_queue &kind = d->kinds[job->kind];
+    kind.started -= kind.started > 0 ? 1 : 0;
+    kind.teams[job->team].started -= kind.teams[job->team].started > 0 ? 1 : 0;
+    d->charge(kind, job->kind, job->team, -kind.runTime.mean());
 }
 
 std::optional<queued_task> task_queue::pop(const std::function<bool(std::string_view)> &placeable, mono_time /*now*/)
 {
-    const auto found = std::find_if(d->tasks.begin(), d->tasks.end(), [&](const queued_task &task) {
-        return placeable(task.kind);
-    });
-    if (found == d->tasks.end()) {
-        return std::nullopt;
+    for (const auto &[tag, kindNumber] : d->order.active()) {
+        kind_queue &kind = d->kinds[kindNumber];
+        if (!placeable(kind.name)) {
+            continue;
+        }
+        const std::size_t teamNumber = kind.order.active().begin()->second;
+        team_queue &team = kind.teams[teamNumber];
+        const auto job = team.jobs.begin();
+        queued_task task = std::move(job->tasks.front());
+        job->tasks.pop_front();
+        ++kind.started;
+        ++team.started;
+        d->charge(kind, kindNumber, teamNumber, kind.runTime.mean());
+        d->countQueued(*job, -1);
+        d->removeEmpty(job);
+        return task;
     }
-    queued_task task = std::move(*found);
-    d->tasks.erase(found);
-    return task;
+    return std::nullopt;
 }
 
 std::size_t task_queue::removeJob(const ticket_id &ticket)
 {
-    return std::erase_if(d->tasks, [&](const queued_task &task) {
-        return task.id.ticket == ticket;
-    });
+    const auto found = d->jobs.find(ticket);
+    if (found == d->jobs.end()) {
+        return 0;
+    }
+    const auto job = found->second;
+    const auto dropped = static_cast<std::int64_t>(job->tasks.size());
+    kind_queue &kind = d->kinds[job->kind];
+    kind.addInProgress(job->team, -dropped);
+    d->quotas.add(kind.teams[job->team].name, -dropped);
+    d->countQueued(*job, -dropped);
+    job->tasks.clear();
+    d->removeEmpty(job);
+    return static_cast<std::size_t>(dropped);
 }
 
 std::vector<queued_task> task_queue::takeExpired(mono_time now)
 {
-    const auto expired = std::stable_partition(d->tasks.begin(), d->tasks.end(), [&](const queued_task &task) {
-        return task.deadline > now;
-    });
-    std::vector<queued_task> taken(std::make_move_iterator(expired), std::make_move_iterator(d->tasks.end()));
-    d->tasks.erase(expired, d->tasks.end());
+    std::vector<queued_task> taken;
+    while (!d->expiries.empty() && d->expiries.begin()->first <= now) {
+        const ticket_id ticket = d->expiries.begin()->second;
+        auto &tasks = d->jobs.at(ticket)->tasks;
+        taken.insert(taken.end(), tasks.begin(), tasks.end());
+        removeJob(ticket);
+    }
     return taken;
 }
 
-void task_queue::finish(const queued_task & /*task*/, const task_outcome & /*outcome*/, mono_time /*now*/)
+// Corrects the charge from the expected to the measured run time.
+void task_queue::finish(const queued_task &task, const task_outcome &outcome, mono_time now)
 {
+    const std::size_t kindNumber = d->findKind(task.kind);
+    if (kindNumber == d->kinds.size()) {
+        return;
+    }
+    kind_queue &kind = d->kinds[kindNumber];
+    const std::size_t teamNumber = kind.findTeam(task.team);
+    if (teamNumber == kind.teams.size()) {
+        return;
+    }
+    kind.started -= kind.started > 0 ? 1 : 0;
+    kind.teams[teamNumber].started -= kind.teams[teamNumber].started > 0 ? 1 : 0;
+    kind.addInProgress(teamNumber, -1);
+    d->quotas.add(task.team, -1);
+    const bool ran = outcome.verdict == task_verdict::succeeded || outcome.verdict == task_verdict::failed;
+    const double work = ran ? std::chrono::duration<double>(outcome.runTime).count() : 0;
+    const double correction = work - kind.runTime.mean();
+    d->order.correct(kindNumber, correction);
+    kind.order.correct(teamNumber, correction);
+    if (ran) {
+        kind.failing.record(outcome.verdict == task_verdict::failed, now);
+    }
+    if (outcome.verdict == task_verdict::succeeded) {
+        kind.runTime.add(outcome.runTime);
+    }
 }
 
 std::size_t task_queue::size() const
 {
-    return d->tasks.size();
+    return d->size;
 }
 
 std::vector<team_usage> task_queue::takeUsage()
 {
-    return {};
+    return d->quotas.takeUsage();
 }
 
-void task_queue::setPeerUsage(const entry_id & /*peer*/, std::vector<team_usage> /*usage*/, mono_time /*now*/)
+void task_queue::setPeerUsage(const entry_id &peer, std::vector<team_usage> usage, mono_time now)
 {
+    d->quotas.setPeerUsage(peer, std::move(usage), now);
 }
 
-void task_queue::setEntryCount(std::size_t /*entries*/)
+void task_queue::setEntryCount(std::size_t entries)
 {
+    d->entries = entries > 0 ? entries : 1;
+    d->quotas.setEntryCount(entries);
 }
 
 std::vector<queue_status> task_queue::status() const
 {
-    return {};
+    std::vector<queue_status> found;
+    for (const kind_queue &kind : d->kinds) {
+        for (const team_queue &team : kind.teams) {
+            if (team.name.empty() && team.admitted + team.refused == 0) {
+                continue; // The number of a team that was dropped.
+            }
+            found.push_back({kind.name, team.name, team.queued, team.started, team.admitted, team.refused});
+        }
+    }
+    return found;
 }
 
 } // namespace teaselward
--- /dev/null
+++ b/src/share/task_queue_private.cpp
@@ -0,0 +1,161 @@
+#include "share/task_queue_private.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselward::detail
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr double LeastShare = 1e-3; // Keeps a kind with weight and floor zero from waiting forever.
+constexpr double WaitMargin = 1.1; // The backlog takes longer than the mean run times say when long tasks pile up.
+constexpr double RunMargin = 3; // The longest task of a job runs for several times the mean.
+constexpr milliseconds ShortestRetry(100);
+constexpr milliseconds LongestRetry(10000);
+constexpr milliseconds QuotaRetry(1000); // The parts of a quota change with the reports, once a second.
+
+// Converts a wait to a retry time within the bounds.
+milliseconds retryTime(double seconds)
+{
+    const auto wait = milliseconds(static_cast<std::int64_t>(std::min(seconds, 1e6) * 1000));
+    return std::clamp(wait, ShortestRetry, LongestRetry);
+}
+
+} // namespace
+
+std::size_t task_queue_private::findKind(std::string_view kind) const
+{
+    const auto found = kindNames.find(kind);
+    return found == kindNames.end() ? kinds.size() : found->second;
+}
+
+std::size_t task_queue_private::kindIndex(std::string_view kind)
+{
+    const std::size_t found = findKind(kind);
+    if (found < kinds.size()) {
+        return found;
+    }
+    const std::size_t index = order.add(1.0);
+    kinds.emplace_back();
+    kinds.back().name = std::string(kind);
+    kindNames.emplace(std::string(kind), index);
+    return index;
+}
+
+double task_queue_private::teamWeight(std::string_view team) const
+{
+    const auto found = rules->teams.find(team);
+    return found == rules->teams.end() ? 1.0 : std::max(LeastShare, found->second.weight);
+}
+
+// Each kind gets its floor, and the rest of the slots is divided by weight. Virtual time makes this the least share of a
+// kind while it has work; what others leave is divided in the same ratio.
+void task_queue_private::applyRules()
+{
+    double floors = 0;
+    double weights = 0;
+    for (const auto &[name, rule] : rules->kinds) {
+        floors += std::max(0.0, rule.floor);
+        weights += std::max(0.0, rule.weight);
+    }
+    const double scale = floors > 1 ? 1 / floors : 1;
+    const double rest = std::max(0.0, 1 - floors * scale);
+    for (const auto &[name, rule] : rules->kinds) {
+        const std::size_t index = kindIndex(name);
+        kind_queue &kind = kinds[index];
+        kind.rule = rule;
+        kind.share = std::max(0.0, rule.floor) * scale + (weights > 0 ? rest * std::max(0.0, rule.weight) / weights : 0);
+        kind.share = std::max(LeastShare, kind.share);
+        order.setWeight(index, kind.share);
+        for (std::size_t team = 0; team < kind.teams.size(); ++team) {
+            kind.setTeamWeight(team, teamWeight(kind.teams[team].name));
+        }
+    }
+    quotas.setRules(*rules);
+}
+
+admission_result task_queue_private::decide(kind_queue &kind, std::size_t team, const job_request &job, std::size_t slots, mono_time now)
+{
+    const auto tasks = static_cast<std::uint32_t>(job.payloads.size());
+    const double mean = kind.runTime.mean();
+    // While the kind has a backlog, its running tasks tell how many slots it gets here.
+    const double usable = std::max({static_cast<double>(kind.started), kind.share * static_cast<double>(slots) / static_cast<double>(entries), 1.0});
+    const team_queue &queue = kind.teams[team];
+    const bool fits = queue.queued + tasks <= kind.room(team) || (queue.queued == 0 && kind.queued + tasks <= kind.rule.queueLimit);
+    if (!fits) {
+        return {reason::queueFull, retryTime(tasks * mean / usable)};
+    }
+    if (slots > 0 && kind.queued > 0 && kind.runTime.isReliable()) {
+        const double weight = kind.order.weight(team);
+        const double ahead = std::min<double>(kind.queued, queue.queued * std::max(1.0, kind.activeWeight / weight));
+        const double wait = (ahead + tasks) * mean / usable;
+        const double excess = WaitMargin * wait + RunMargin * mean - std::chrono::duration<double>(job.timeLimit).count();
+        if (excess > 0) {
+            return {reason::deadlineUnreachable, retryTime(excess)};
+        }
+    }
+    if (!quotas.admits(job.team, tasks, now)) {
+        return {reason::quotaExceeded, QuotaRetry};
+    }
+    if (!kind.failing.admits(now)) {
+        return {reason::kindFailing, std::max(ShortestRetry, kind.failing.retryAfter(now))};
+    }
+    return {};
+}
+
+task_queue_private::job_position task_queue_private::findOrAddJob(const queued_task &task, bool front)
+{
+    const auto found = jobs.find(task.id.ticket);
+    if (found != jobs.end()) {
+        return found->second;
+    }
+    const std::size_t kindNumber = kindIndex(task.kind);
+    kind_queue &kind = kinds[kindNumber];
+    const std::size_t teamNumber = kind.teamIndex(task.team, teamWeight(task.team));
+    auto &list = kind.teams[teamNumber].jobs;
+    const auto added = list.insert(front ? list.begin() : list.end(), queued_job{});
+    added->ticket = task.id.ticket;
+    added->kind = kindNumber;
+    added->team = teamNumber;
+    added->expiry = expiries.emplace(task.deadline, task.id.ticket);
+    jobs.emplace(task.id.ticket, added);
+    return added;
+}
+
+void task_queue_private::countQueued(const queued_job &job, std::int64_t change)
+{
+    kind_queue &kind = kinds[job.kind];
+    team_queue &team = kind.teams[job.team];
+    team.queued = static_cast<std::uint32_t>(team.queued + change);
+    kind.queued = static_cast<std::uint32_t>(kind.queued + change);
+    size = static_cast<std::size_t>(static_cast<std::int64_t>(size) + change);
+    kind.order.setActive(job.team, team.queued > 0);
+    order.setActive(job.kind, kind.queued > 0);
+}
+
+void task_queue_private::removeEmpty(job_position job)
+{
+    if (!job->tasks.empty()) {
+        return;
+    }
+    expiries.erase(job->expiry);
+    jobs.erase(job->ticket);
+    kinds[job->kind].teams[job->team].jobs.erase(job);
+}
+
+void task_queue_private::charge(kind_queue &kind, std::size_t kindNumber, std::size_t team, double work)
+{
+    if (work > 0) {
+        order.charge(kindNumber, work);
+        kind.order.charge(team, work);
+    } else {
+        order.correct(kindNumber, work);
+        kind.order.correct(team, work);
+    }
+}
+
+} // namespace teaselward::detail
--- /dev/null
+++ b/src/share/team_queue.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "share/queued_job.h"
+
+#include <cstdint>
+#include <list>
+#include <string>
+
+namespace teaselward
+{
+
+/** Waiting jobs of one team and kind in the order of their arrival. */
+struct team_queue {
+    std::string name;
+    std::list<queued_job> jobs;
+    std::uint32_t queued = 0;
+    std::uint32_t started = 0;
+    std::uint32_t inProgress = 0; ///< Admitted and not ended.
+    std::uint64_t admitted = 0;
+    std::uint64_t refused = 0;
+};
+
+} // namespace teaselward
