Measure the decisions in virtual time beside all baselines

Cause: the policies were written without figures. Change: a small event heap with fake entries and endpoints around the real queue, slot table and credits; six cases.

--- /dev/null
+++ b/src/sim/bench_report.cpp
@@ -0,0 +1,43 @@
+#include "sim/bench_report.h"
+
+#include <ostream>
+
+namespace teaselward
+{
+
+namespace
+{
+
+constexpr std::uint64_t HashStart = 0xcbf29ce484222325U; // FNV-1a.
+constexpr std::uint64_t HashFactor = 0x100000001b3U;
+
+} // namespace
+
+bench_report::bench_report(std::ostream &out, std::ostream &err)
+    : m_out(out)
+    , m_err(err)
+    , m_hash(HashStart)
+{
+}
+
+void bench_report::add(const sim_measures &measures)
+{
+    m_hash = (m_hash ^ measures.hash()) * HashFactor;
+}
+
+void bench_report::line(const std::string &text)
+{
+    m_out << text << std::endl;
+}
+
+void bench_report::note(const std::string &text)
+{
+    m_err << text << std::endl;
+}
+
+std::uint64_t bench_report::signature() const
+{
+    return m_hash;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/sim/flood_case.cpp
@@ -0,0 +1,79 @@
+#include "sim/flood_case.h"
+
+#include "sim/percentile.h"
+#include "sim/sim_cluster.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <string>
+
+namespace teaselward
+{
+
+namespace
+{
+
+constexpr double FloodLoad = 10;
+constexpr std::array<std::string_view, sim_setup::Kinds> Names = {"urgent", "usual", "patient"};
+
+// Prints what each other kind keeps of the goodput and the p99 that it has without a flood.
+void compare(bench_report &report, sim_setup setup, std::string_view name, std::size_t flooding)
+{
+    setup.length = std::chrono::seconds(120);
+    sim_cluster calm(setup);
+    const sim_measures &before = calm.run();
+    sim_setup floodSetup = setup;
+    floodSetup.load[flooding] = FloodLoad;
+    sim_cluster flooded(floodSetup);
+    const sim_measures &after = flooded.run();
+    for (std::size_t kind = 0; kind < sim_setup::Kinds; ++kind) {
+        if (kind == flooding) {
+            continue;
+        }
+        const double p99Before = percentile(before.kinds[kind].responses, 0.99);
+        const double p99After = percentile(after.kinds[kind].responses, 0.99);
+        std::array<char, 200> line{};
+        std::snprintf(line.data(),
+                      line.size(),
+                      "%-6s %-8s floods: %-8s goodput kept %6.3f  p99 %7.3f s -> %7.3f s = %6.2fx  refused %5.1f %%",
+                      std::string(name).c_str(),
+                      std::string(Names[flooding]).c_str(),
+                      std::string(Names[kind]).c_str(),
+                      after.kinds[kind].goodput / before.kinds[kind].goodput,
+                      p99Before,
+                      p99After,
+                      p99After / p99Before,
+                      100.0 * static_cast<double>(after.kinds[kind].refused) / static_cast<double>(std::max<std::uint64_t>(1, after.kinds[kind].offered)));
+        report.line(line.data());
+    }
+    std::array<char, 200> line{};
+    std::snprintf(line.data(),
+                  line.size(),
+                  "%-6s %-8s floods: total goodput %.3f, refusal p99 %.2f ms, most %.2f ms",
+                  std::string(name).c_str(),
+                  std::string(Names[flooding]).c_str(),
+                  after.goodput(),
+                  1000 * percentile(after.refusalTimes, 0.99),
+                  1000 * percentile(after.refusalTimes, 1));
+    report.line(line.data());
+    report.add(before);
+    report.add(after);
+}
+
+} // namespace
+
+void runFloodCase(bench_report &report, std::uint64_t seed)
+{
+    report.line("(b) one kind floods at 10x capacity; targets for the others: goodput kept >= 0.95, p99 <= 2x");
+    sim_setup setup;
+    setup.seed = seed;
+    for (const std::size_t flooding : {sim_setup::Kinds - 1, std::size_t{0}}) {
+        setup.fifo = false;
+        compare(report, setup, "fair", flooding);
+        setup.fifo = true;
+        compare(report, setup, "fifo", flooding);
+    }
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/sim/sim_central.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "sim/sim_measures.h"
+#include "sim/sim_setup.h"
+
+namespace teaselward
+{
+
+/**
+ * Lower bound: one queue in the order of arrival in front of all slots, without any message between entry and endpoint.
+ * @param setup the load and the sizes; it must outlive the result
+ * @return response times of the jobs and tasks
+ */
+sim_measures runCentralQueue(const sim_setup &setup);
+
+} // namespace teaselward
--- /dev/null
+++ b/src/sim/sim_endpoint.cpp
@@ -0,0 +1,162 @@
+#include "sim/sim_endpoint.h"
+
+#include <algorithm>
+
+namespace teaselward
+{
+
+namespace
+{
+
+constexpr std::chrono::microseconds FailureTime(1000); // A failing worker answers at once.
+
+} // namespace
+
+sim_endpoint::sim_endpoint(const sim_setup &setup, std::size_t number, event_heap &heap, sim_links &links, sim_measures &measures)
+    : m_setup(setup)
+    , m_number(number)
+    , m_heap(heap)
+    , m_links(links)
+    , m_measures(measures)
+    , m_allocator(setup.slots, setup.creditPolicy)
+    , m_usesCredits(setup.strategy == "credits")
+{
+}
+
+entry_id sim_endpoint::idOf(std::size_t entry)
+{
+    return {entry + 1};
+}
+
+// The credits of a registration are part of the heartbeats and not counted.
+void sim_endpoint::join(std::size_t entry)
+{
+    for (const credit_grant &grant : m_allocator.join(idOf(entry), m_heap.now())) {
+        m_links.sendCredits(m_number, static_cast<std::size_t>(grant.entry.value - 1), grant.delta);
+    }
+}
+
+void sim_endpoint::lose(std::size_t entry)
+{
+    for (const held_start &start : m_held) {
+        if (start.entry == entry) {
+            m_allocator.dropHeld(idOf(entry), m_heap.now());
+        }
+    }
+    std::erase_if(m_held, [entry](const held_start &start) {
+        return start.entry == entry;
+    });
+    sendOthers(entry, m_allocator.lose(idOf(entry), m_heap.now()));
+}
+
+void sim_endpoint::start(std::size_t entry, const task_id &task, std::chrono::microseconds runTime, std::uint32_t demand)
+{
+    if (m_allocator.take(idOf(entry))) {
+        run(entry, task, runTime);
+    } else if (m_allocator.hold(idOf(entry))) {
+        hold({m_nextHeld++, entry, task, runTime});
+    } else {
+        ++m_measures.bounced;
+        task_outcome outcome;
+        outcome.verdict = task_verdict::notStarted;
+        m_links.sendResult(m_number, entry, task, outcome, 1);
+    }
+    if (m_usesCredits) {
+        const std::int32_t own = sendOthers(entry, m_allocator.setDemand(idOf(entry), demand, m_heap.now()));
+        if (own != 0) {
+            m_measures.wastedMessages += m_measures.covers(m_heap.now()) ? 1 : 0;
+            m_links.sendCredits(m_number, entry, own);
+        }
+    }
+}
+
+std::uint32_t sim_endpoint::load() const
+{
+    return m_running + static_cast<std::uint32_t>(m_held.size());
+}
+
+void sim_endpoint::run(std::size_t entry, const task_id &task, std::chrono::microseconds runTime)
+{
+    task_outcome outcome;
+    outcome.verdict = task_verdict::succeeded;
+    outcome.runTime = runTime;
+    const bool fails = m_number == m_setup.failingWorker && m_heap.now().time_since_epoch() >= m_setup.faultAt;
+    if (fails) {
+        outcome.verdict = task_verdict::failed;
+        outcome.why = reason::taskFailed;
+        outcome.runTime = FailureTime;
+    }
+    ++m_running;
+    m_measures.recordRun(entry, m_heap.now(), outcome.runTime);
+    m_heap.at(m_heap.now() + outcome.runTime, [this, entry, task, outcome] {
+        finish(entry, task, outcome);
+    });
+}
+
+void sim_endpoint::finish(std::size_t entry, const task_id &task, const task_outcome &outcome)
+{
+    --m_running;
+    answer(entry, task, outcome, m_allocator.release(idOf(entry), m_heap.now()));
+    runHeld();
+}
+
+void sim_endpoint::hold(const held_start &start)
+{
+    m_measures.held += m_measures.covers(m_heap.now()) ? 1 : 0;
+    m_held.push_back(start);
+    m_heap.at(m_heap.now() + m_setup.longestHold, [this, number = start.number] {
+        expire(number);
+    });
+}
+
+void sim_endpoint::expire(std::uint64_t number)
+{
+    const auto found = std::find_if(m_held.begin(), m_held.end(), [number](const held_start &start) {
+        return start.number == number;
+    });
+    if (found == m_held.end()) {
+        return;
+    }
+    const held_start start = *found;
+    m_held.erase(found);
+    ++m_measures.bounced;
+    task_outcome outcome;
+    outcome.verdict = task_verdict::notStarted;
+    answer(start.entry, start.task, outcome, m_allocator.dropHeld(idOf(start.entry), m_heap.now()));
+    runHeld();
+}
+
+void sim_endpoint::runHeld()
+{
+    while (const auto next = m_allocator.takeHeld()) {
+        const auto found = std::find_if(m_held.begin(), m_held.end(), [&](const held_start &start) {
+            return idOf(start.entry) == *next;
+        });
+        const held_start start = *found;
+        m_held.erase(found);
+        run(start.entry, start.task, start.runTime);
+    }
+}
+
+void sim_endpoint::answer(std::size_t entry, const task_id &task, const task_outcome &outcome, const std::vector<credit_grant> &grants)
+{
+    const std::int32_t own = sendOthers(entry, grants);
+    m_links.sendResult(m_number, entry, task, outcome, own);
+}
+
+// Sends the changes for the other entries, a wasted message each, and returns the one for the entry itself.
+std::int32_t sim_endpoint::sendOthers(std::size_t entry, const std::vector<credit_grant> &grants)
+{
+    std::int32_t own = 0;
+    for (const credit_grant &grant : grants) {
+        if (grant.entry == idOf(entry)) {
+            own += grant.delta;
+            continue;
+        }
+        m_measures.wastedMessages += m_measures.covers(m_heap.now()) ? 1 : 0;
+        m_links.sendCredits(m_number, static_cast<std::size_t>(grant.entry.value - 1), grant.delta);
+    }
+    return own;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/sim/sim_endpoint.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "place/credit_allocator.h"
+#include "sim/event_heap.h"
+#include "sim/sim_links.h"
+#include "sim/sim_measures.h"
+#include "sim/sim_setup.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+namespace teaselward
+{
+
+/** Fake agent and endpoint of one worker around the real credit_allocator. */
+class sim_endpoint
+{
+public:
+    sim_endpoint(const sim_setup &setup, std::size_t number, event_heap &heap, sim_links &links, sim_measures &measures);
+
+    /** An entry connects. */
+    void join(std::size_t entry);
+
+    /** The connection to an entry is lost; its held starts are dropped. */
+    void lose(std::size_t entry);
+
+    /** Receives a start. */
+    void start(std::size_t entry, const task_id &task, std::chrono::microseconds runTime, std::uint32_t demand);
+
+    /** @return running and held tasks */
+    std::uint32_t load() const;
+
+private:
+    /** Start that waits for a slot. */
+    struct held_start {
+        std::uint64_t number = 0;
+        std::size_t entry = 0;
+        task_id task;
+        std::chrono::microseconds runTime{};
+    };
+
+    static entry_id idOf(std::size_t entry);
+    void run(std::size_t entry, const task_id &task, std::chrono::microseconds runTime);
+    void finish(std::size_t entry, const task_id &task, const task_outcome &outcome);
+    void hold(const held_start &start);
+    void expire(std::uint64_t number);
+    void runHeld();
+    void answer(std::size_t entry, const task_id &task, const task_outcome &outcome, const std::vector<credit_grant> &grants);
+    std::int32_t sendOthers(std::size_t entry, const std::vector<credit_grant> &grants);
+
+    const sim_setup &m_setup;
+    std::size_t m_number;
+    event_heap &m_heap;
+    sim_links &m_links;
+    sim_measures &m_measures;
+    credit_allocator m_allocator;
+    std::deque<held_start> m_held;
+    std::uint64_t m_nextHeld = 0;
+    std::uint32_t m_running = 0;
+    bool m_usesCredits;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/sim/sim_links.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/task_id.h"
+#include "core/task_outcome.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** Messages between the simulated entries and endpoints; each arrives after the latency of its way. */
+class sim_links
+{
+public:
+    virtual ~sim_links() = default;
+
+    /** Sends a start from an entry to a worker, after a delay at the entry. */
+    virtual void sendStart(
+        std::size_t entry, std::size_t worker, const task_id &task, std::chrono::microseconds runTime, std::uint32_t demand, std::chrono::microseconds delay)
+        = 0;
+
+    /** Sends the answer to a start from a worker to an entry. */
+    virtual void sendResult(std::size_t worker, std::size_t entry, const task_id &task, const task_outcome &outcome, std::int32_t credits) = 0;
+
+    /** Sends a change of credits from a worker to an entry. */
+    virtual void sendCredits(std::size_t worker, std::size_t entry, std::int32_t delta) = 0;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/sim/sim_workload.cpp
@@ -0,0 +1,100 @@
+#include "sim/sim_workload.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <numbers>
+#include <numeric>
+
+namespace teaselward
+{
+
+namespace
+{
+
+constexpr double MedianSeconds = 0.224; // Geometric mean of 50 ms and 1 s.
+constexpr double Sigma = 0.764; // Puts 95 % between 50 ms and 1 s.
+constexpr double LongPart = 0.01;
+constexpr double LongLeast = 2.0;
+constexpr double LongMost = 6.0;
+constexpr std::array<double, sim_setup::Kinds> Scale = {0.7, 1.0, 1.3}; // Run times of the kinds relative to the middle one.
+constexpr std::uint64_t MostTasks = 20;
+constexpr std::uint64_t Teams = 4;
+constexpr double MeanTasks = (1.0 + MostTasks) / 2;
+constexpr std::uint64_t WorkloadSalt = 0x776f726b; // Keeps the jobs apart from the draws of the strategies.
+
+} // namespace
+
+sim_workload::sim_workload(const sim_setup &setup)
+    : m_setup(setup)
+{
+}
+
+// Box-Muller; the distributions of the standard library differ between libraries.
+std::chrono::microseconds sim_workload::runTime(std::size_t kind, random_source &random) const
+{
+    double seconds = 0;
+    if (random.fraction() <= LongPart) {
+        seconds = LongLeast + (LongMost - LongLeast) * random.fraction();
+    } else {
+        const double radius = std::sqrt(-2 * std::log(random.fraction()));
+        const double normal = radius * std::cos(2 * std::numbers::pi * random.fraction());
+        seconds = MedianSeconds * Scale[kind] * std::exp(Sigma * normal);
+    }
+    return std::chrono::microseconds(static_cast<std::int64_t>(seconds * 1e6));
+}
+
+double sim_workload::meanRunTime(std::size_t kind) const
+{
+    const double logNormal = MedianSeconds * Scale[kind] * std::exp(Sigma * Sigma / 2);
+    return (1 - LongPart) * logNormal + LongPart * (LongLeast + LongMost) / 2;
+}
+
+std::size_t sim_workload::drawEntry(random_source &random) const
+{
+    const auto &shares = m_setup.entryShares;
+    double left = random.fraction() * std::accumulate(shares.begin(), shares.end(), 0.0);
+    for (std::size_t entry = 0; entry < shares.size(); ++entry) {
+        left -= shares[entry];
+        if (left <= 0) {
+            return entry;
+        }
+    }
+    return shares.size() - 1;
+}
+
+// Each kind has a random sequence of its own, so that a flood of one leaves the jobs of the others as they were.
+std::vector<sim_job> sim_workload::jobs()
+{
+    std::vector<sim_job> all;
+    const double capacity = static_cast<double>(m_setup.workers) * m_setup.slots;
+    for (std::size_t kind = 0; kind < sim_setup::Kinds; ++kind) {
+        if (m_setup.load[kind] <= 0) {
+            continue;
+        }
+        random_source random(m_setup.seed * sim_setup::Kinds + kind + WorkloadSalt);
+        const double gap = meanRunTime(kind) * MeanTasks / (m_setup.load[kind] * capacity);
+        double sent = 0;
+        while ((sent -= gap * std::log(random.fraction())) < static_cast<double>(m_setup.length.count())) {
+            sim_job &job = all.emplace_back();
+            job.kind = kind;
+            job.team = random.below(Teams);
+            job.entry = drawEntry(random);
+            job.sent = mono_time(std::chrono::microseconds(static_cast<std::int64_t>(sent * 1e6)));
+            const std::uint64_t tasks = 1 + random.below(MostTasks);
+            for (std::uint64_t task = 0; task < tasks; ++task) {
+                job.runTimes.push_back(runTime(kind, random));
+            }
+            job.unfinished = tasks;
+        }
+    }
+    std::stable_sort(all.begin(), all.end(), [](const sim_job &left, const sim_job &right) {
+        return left.sent < right.sent;
+    });
+    for (std::size_t number = 0; number < all.size(); ++number) {
+        all[number].number = number;
+    }
+    return all;
+}
+
+} // namespace teaselward
