Judge deadlines by the slots that a kind gets over several seconds

Cause: at 3x overload a quarter of the accepted jobs expired, since the wait was computed from the slots in use at the moment, which move up and down with long tasks. Change: averages the slots over 5 s of backlog, never below the share of the kind, and requires 1.8 times the predicted wait.

--- a/src/share/kind_queue.h
+++ b/src/share/kind_queue.h
@@ -4,6 +4,7 @@
 #include "share/failing_kind.h"
 #include "share/fair_order.h"
 #include "share/run_time_estimate.h"
+#include "share/service_estimate.h"
 #include "share/team_queue.h"
 
 #include <cstddef>
@@ -27,6 +28,7 @@
     std::uint32_t started = 0;
     double activeWeight = 0; ///< Sum of the weights of the teams that have tasks in progress.
     run_time_estimate runTime;
+    service_estimate service;
     failing_kind failing;
     fair_order order; ///< Of the teams.
     std::deque<team_queue> teams; ///< By their number in the order.
--- /dev/null
+++ b/src/share/service_estimate.cpp
@@ -0,0 +1,38 @@
+#include "share/service_estimate.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// The slots of a kind move up and down with its long tasks; the present number misjudged the wait by half.
+constexpr double AveragingSeconds = 5;
+constexpr double LeastObserved = 0.5;
+
+} // namespace
+
+// Without a backlog the running tasks tell the demand and not the service, so the average starts anew.
+void service_estimate::observe(double slots, bool backlogged, mono_time now)
+{
+    const double elapsed = std::chrono::duration<double>(now - m_last).count();
+    m_last = now;
+    if (!backlogged) {
+        m_observed = 0;
+        return;
+    }
+    m_observed += elapsed;
+    const double part = elapsed / std::min(AveragingSeconds, std::max(m_observed, elapsed));
+    m_average += (elapsed > 0 ? std::min(1.0, part) : 0) * (slots - m_average);
+}
+
+double service_estimate::slots(double started, double expected) const
+{
+    return std::max({m_observed >= LeastObserved ? m_average : started, expected, 1.0});
+}
+
+} // namespace teaselward
--- a/src/share/task_queue.cpp
+++ b/src/share/task_queue.cpp
@@ -61,7 +61,7 @@
     d->charge(kind, job->kind, job->team, -kind.runTime.mean());
 }
 
-std::optional<queued_task> task_queue::pop(const std::function<bool(std::string_view)> &placeable, mono_time /*now*/)
+std::optional<queued_task> task_queue::pop(const std::function<bool(std::string_view)> &placeable, mono_time now)
 {
     for (const auto &[tag, kindNumber] : d->order.active()) {
         kind_queue &kind = d->kinds[kindNumber];
@@ -73,6 +73,7 @@
         const auto job = team.jobs.begin();
         queued_task task = std::move(job->tasks.front());
         job->tasks.pop_front();
+        kind.service.observe(kind.started, kind.queued > 1, now);
         ++kind.started;
         ++team.started;
         d->charge(kind, kindNumber, teamNumber, kind.runTime.mean());
@@ -124,6 +125,7 @@
     if (teamNumber == kind.teams.size()) {
         return;
     }
+    kind.service.observe(kind.started, kind.queued > 0, now);
     kind.started -= kind.started > 0 ? 1 : 0;
     kind.teams[teamNumber].started -= kind.teams[teamNumber].started > 0 ? 1 : 0;
     kind.addInProgress(teamNumber, -1);
--- a/src/share/task_queue_private.cpp
+++ b/src/share/task_queue_private.cpp
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 
 constexpr double LeastShare = 1e-3; // Keeps a kind with weight and floor zero from waiting forever.
-constexpr double WaitMargin = 1.1; // The backlog takes longer than the mean run times say when long tasks pile up.
+constexpr double WaitMargin = 1.8; // 1.5 let 7 % of the jobs accepted at 3x overload expire, 1.8 lets 3 %; 2.2 refuses too much in floods.
 constexpr double RunMargin = 3; // The longest task of a job runs for several times the mean.
 constexpr milliseconds ShortestRetry(100);
 constexpr milliseconds LongestRetry(10000);
@@ -82,8 +82,7 @@
 {
     const auto tasks = static_cast<std::uint32_t>(job.payloads.size());
     const double mean = kind.runTime.mean();
-    // While the kind has a backlog, its running tasks tell how many slots it gets here.
-    const double usable = std::max({static_cast<double>(kind.started), kind.share * static_cast<double>(slots) / static_cast<double>(entries), 1.0});
+    const double usable = kind.service.slots(kind.started, kind.share * static_cast<double>(slots) / static_cast<double>(entries));
     const team_queue &queue = kind.teams[team];
     const bool fits = queue.queued + tasks <= kind.room(team) || (queue.queued == 0 && kind.queued + tasks <= kind.rule.queueLimit);
     if (!fits) {
