--- /dev/null
+++ b/src/place/credit_allocator.cpp
@@ -0,0 +1,219 @@
+#include "place/credit_allocator.h"
+
+#include "place/credit_policies.h"
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Enough for every entry to collide at once; above it a start has better chances at another endpoint.
+constexpr std::uint32_t HeldPerSlot = 2;
+
+} // namespace
+
+namespace detail
+{
+
+/** State of credit_allocator. */
+class credit_allocator_private
+{
+public:
+    /** An entry and its account. The few entries are kept in the order of their arrival. */
+    struct member {
+        entry_id entry;
+        credit_account account;
+    };
+
+    credit_totals totals;
+    bool closed = false;
+    std::unique_ptr<credit_policy> policy;
+    std::vector<member> members;
+
+    credit_account *find(const entry_id &entry)
+    {
+        for (member &item : members) {
+            if (item.entry == entry) {
+                return &item.account;
+            }
+        }
+        return nullptr;
+    }
+
+    credit_account &findOrAdd(const entry_id &entry)
+    {
+        credit_account *found = find(entry);
+        return found != nullptr ? *found : members.emplace_back(member{entry, {}}).account;
+    }
+
+    // Forgets entries that are lost and have nothing left here.
+    void dropUnused()
+    {
+        std::erase_if(members, [](const member &item) {
+            return !item.account.connected && item.account.running == 0 && item.account.held == 0;
+        });
+    }
+
+    // Brings the credits of one entry to their target.
+    void settle(const entry_id &entry, credit_account &account, std::vector<credit_grant> &grants) const
+    {
+        if (closed || !account.connected) {
+            return;
+        }
+        const std::int32_t delta = policy->target(account, totals) - account.granted;
+        if (delta != 0) {
+            account.granted += delta;
+            grants.push_back({entry, delta});
+        }
+    }
+
+    // Brings the credits of all entries to their targets if the policy wants it.
+    void settleOthers(const entry_id &entry, std::vector<credit_grant> &grants)
+    {
+        if (!policy->redividesOnChange()) {
+            return;
+        }
+        for (member &item : members) {
+            if (!(item.entry == entry)) {
+                settle(item.entry, item.account, grants);
+            }
+        }
+    }
+};
+
+} // namespace detail
+
+credit_allocator::credit_allocator(std::uint32_t slots, std::string_view policy)
+    : d(std::make_unique<detail::credit_allocator_private>())
+{
+    d->totals.slots = slots;
+    d->policy = makeCreditPolicy(policy);
+}
+
+credit_allocator::~credit_allocator() = default;
+
+std::vector<credit_grant> credit_allocator::join(const entry_id &entry, mono_time /*now*/)
+{
+    credit_account &account = d->findOrAdd(entry);
+    d->totals.entries += account.connected ? 0 : 1;
+    account.connected = true;
+    account.granted = 0;
+    account.demand = 0;
+    std::vector<credit_grant> grants;
+    d->settle(entry, account, grants);
+    d->settleOthers(entry, grants);
+    return grants;
+}
+
+std::vector<credit_grant> credit_allocator::lose(const entry_id &entry, mono_time /*now*/)
+{
+    credit_account *account = d->find(entry);
+    if (account == nullptr || !account->connected) {
+        return {};
+    }
+    account->connected = false;
+    account->granted = 0;
+    account->demand = 0;
+    --d->totals.entries;
+    d->dropUnused();
+    std::vector<credit_grant> grants;
+    d->settleOthers(entry, grants);
+    return grants;
+}
+
+std::vector<credit_grant> credit_allocator::setDemand(const entry_id &entry, std::uint32_t queued, mono_time /*now*/)
+{
+    credit_account *account = d->find(entry);
+    if (account == nullptr || !account->connected || d->closed) {
+        return {};
+    }
+    account->demand = queued;
+    const std::int32_t delta = d->policy->urgentGrant(*account, d->totals);
+    if (delta == 0) {
+        return {};
+    }
+    account->granted += delta;
+    return {{entry, delta}};
+}
+
+// A start without a credit is accepted too if a slot is free, since a recall may have crossed it.
+bool credit_allocator::take(const entry_id &entry)
+{
+    if (d->closed || d->totals.running >= d->totals.slots) {
+        return false;
+    }
+    credit_account &account = d->findOrAdd(entry);
+    --account.granted;
+    ++account.running;
+    ++d->totals.running;
+    return true;
+}
+
+bool credit_allocator::hold(const entry_id &entry)
+{
+    if (d->closed || d->totals.held >= HeldPerSlot * d->totals.slots) {
+        return false;
+    }
+    credit_account &account = d->findOrAdd(entry);
+    --account.granted;
+    ++account.held;
+    ++d->totals.held;
+    return true;
+}
+
+std::optional<entry_id> credit_allocator::takeHeld()
+{
+    if (d->closed || d->totals.running >= d->totals.slots) {
+        return std::nullopt;
+    }
+    detail::credit_allocator_private::member *chosen = nullptr;
+    for (auto &item : d->members) {
+        if (item.account.held > 0 && (chosen == nullptr || item.account.running < chosen->account.running)) {
+            chosen = &item;
+        }
+    }
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    --chosen->account.held;
+    --d->totals.held;
+    ++chosen->account.running;
+    ++d->totals.running;
+    return chosen->entry;
+}
+
+std::vector<credit_grant> credit_allocator::dropHeld(const entry_id &entry, mono_time /*now*/)
+{
+    credit_account *account = d->find(entry);
+    if (account == nullptr || account->held == 0) {
+        return {};
+    }
+    --account->held;
+    --d->totals.held;
+    std::vector<credit_grant> grants;
+    d->settle(entry, *account, grants);
+    d->dropUnused();
+    return grants;
+}
+
+std::vector<credit_grant> credit_allocator::release(const entry_id &entry, mono_time /*now*/)
+{
+    credit_account *account = d->find(entry);
+    if (account == nullptr || account->running == 0) {
+        return {};
+    }
+    --account->running;
+    --d->totals.running;
+    std::vector<credit_grant> grants;
+    d->settle(entry, *account, grants);
+    d->dropUnused();
+    return grants;
+}
+
+void credit_allocator::close()
+{
+    d->closed = true;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/place/slot_table.cpp
@@ -0,0 +1,198 @@
+#include "place/slot_table.h"
+
+#include "place/slot_table_private.h"
+
+#include <algorithm>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Short text for operators; the order is that of the importance.
+endpoint_health healthOf(const endpoint_record &record, mono_time now, std::string &why)
+{
+    if (!record.connected) {
+        why = record.info.leaving ? "announced that it stops" : "not connected";
+        return record.info.leaving ? endpoint_health::leaving : endpoint_health::lost;
+    }
+    if (record.excluded) {
+        why = "fails what it starts; probed every " + std::to_string(record.probeInterval.count()) + " ms";
+        return endpoint_health::failing;
+    }
+    if (record.holdUntil > now) {
+        why = "refused a start";
+        return endpoint_health::saturated;
+    }
+    if (health_monitor::limit(record) < record.info.slots) {
+        why = "slow; limited to " + std::to_string(health_monitor::limit(record)) + " tasks";
+    }
+    return endpoint_health::healthy;
+}
+
+} // namespace
+
+slot_table::slot_table(std::string_view strategy, std::uint64_t seed)
+    : d(std::make_unique<detail::slot_table_private>(strategy, seed))
+{
+}
+
+slot_table::~slot_table() = default;
+
+void slot_table::join(const agent_info &info, std::uint32_t credits, std::chrono::milliseconds /*lease*/, mono_time now)
+{
+    d->applyDue(now);
+    const std::size_t index = d->findOrAdd(info.id);
+    d->disconnect(index);
+    endpoint_record &record = d->endpoints[index];
+    record.info = info;
+    record.pool = d->poolIndex(info);
+    record.credits = static_cast<std::int32_t>(credits);
+    record.connected = !info.leaving;
+    if (!record.connected) {
+        return;
+    }
+    for (const std::string &kind : d->pools[record.pool].kinds) {
+        d->kinds[d->kindIndex(kind)].slots += info.slots;
+    }
+    if (record.excluded) {
+        d->schedule(index, std::max(now, record.nextProbe));
+    }
+    d->refresh(index, now);
+}
+
+void slot_table::leave(const agent_id &agent)
+{
+    const auto found = d->agents.find(agent);
+    if (found != d->agents.end() && d->endpoints[found->second].connected) {
+        d->disconnect(found->second);
+        d->lost.push_back(agent);
+        d->dropLost();
+    }
+}
+
+void slot_table::addCredits(const agent_id &agent, std::int32_t delta)
+{
+    const auto found = d->agents.find(agent);
+    if (found != d->agents.end() && d->endpoints[found->second].connected) {
+        d->endpoints[found->second].credits += delta;
+        d->refresh(found->second, d->latest);
+    }
+}
+
+bool slot_table::isPlaceable(std::string_view kind, mono_time now)
+{
+    d->applyDue(now);
+    const auto found = d->kindNames.find(kind);
+    if (found == d->kindNames.end()) {
+        return false;
+    }
+    const auto &pools = d->kinds[found->second].pools;
+    return std::any_of(pools.begin(),
+                       pools.end(),
+                       [this](std::size_t pool) {
+                           return d->pools[pool].highest() > 0;
+                       })
+        || d->findProbe(found->second) < d->probes.size();
+}
+
+std::optional<agent_id> slot_table::acquire(std::string_view kind, mono_time now)
+{
+    d->applyDue(now);
+    const auto found = d->kindNames.find(kind);
+    if (found == d->kindNames.end()) {
+        return std::nullopt;
+    }
+    std::size_t index = 0;
+    const std::size_t probe = d->findProbe(found->second);
+    if (probe < d->probes.size()) {
+        index = d->probes[probe];
+        d->probes.erase(d->probes.begin() + static_cast<std::ptrdiff_t>(probe));
+        d->endpoints[index].probeDue = false;
+        d->endpoints[index].probing = true;
+    } else {
+        d->candidates.clear();
+        for (const std::size_t pool : d->kinds[found->second].pools) {
+            if (d->pools[pool].highest() > 0) {
+                d->candidates.push_back(&d->pools[pool]);
+            }
+        }
+        if (d->candidates.empty()) {
+            return std::nullopt;
+        }
+        index = d->strategy->choose(d->candidates, d->random, d->probe);
+    }
+    endpoint_record &record = d->endpoints[index];
+    --record.credits;
+    ++record.outstanding;
+    d->refresh(index, now);
+    return record.info.id;
+}
+
+void slot_table::release(const agent_id &agent, std::string_view kind, const task_outcome &outcome, std::int32_t credits, mono_time now)
+{
+    d->applyDue(now);
+    const auto found = d->agents.find(agent);
+    if (found == d->agents.end()) {
+        return;
+    }
+    endpoint_record &record = d->endpoints[found->second];
+    record.outstanding -= std::min<std::uint32_t>(record.outstanding, 1);
+    record.credits += record.connected ? credits : 0;
+    const std::size_t kindIndex = d->kindIndex(kind);
+    d->health.record(record, kindIndex, d->kinds[kindIndex], outcome, now);
+    if (record.excluded && !record.probing && !record.probeDue) {
+        d->schedule(found->second, record.nextProbe);
+    }
+    if (record.holdUntil > now) {
+        d->schedule(found->second, record.holdUntil);
+    }
+    d->refresh(found->second, now);
+}
+
+std::size_t slot_table::slots(std::string_view kind) const
+{
+    const auto found = d->kindNames.find(kind);
+    return found == d->kindNames.end() ? 0 : d->kinds[found->second].slots;
+}
+
+std::vector<agent_id> slot_table::agents() const
+{
+    std::vector<agent_id> found;
+    for (const endpoint_record &record : d->endpoints) {
+        if (record.connected) {
+            found.push_back(record.info.id);
+        }
+    }
+    return found;
+}
+
+mono_time slot_table::nextDue() const
+{
+    return d->due.empty() ? mono_time::max() : d->due.top().first;
+}
+
+std::vector<endpoint_status> slot_table::status() const
+{
+    std::vector<endpoint_status> found;
+    for (const auto &[agent, index] : d->agents) {
+        const endpoint_record &record = d->endpoints[index];
+        endpoint_status item;
+        item.info = record.info;
+        item.health = healthOf(record, d->latest, item.why);
+        item.credits = static_cast<std::uint32_t>(std::max(0, record.credits));
+        item.outstanding = record.outstanding;
+        found.push_back(std::move(item));
+    }
+    return found;
+}
+
+void slot_table::setLoadProbe(std::function<std::uint32_t(const agent_id &)> probe)
+{
+    d->probe = [this, asked = std::move(probe)](std::size_t index) {
+        return asked(d->endpoints[index].info.id);
+    };
+}
+
+} // namespace teaselward
