Add the leases, backoffs and known entries of sessions

Cause: adapters between processes need leases and reconnects whose rules can be tested without sockets and clocks. Conclusion: an own pause beyond half a lease gives each peer half a lease more instead of dropping every session.

--- /dev/null
+++ b/src/member/entry_directory.cpp
@@ -0,0 +1,187 @@
+#include "member/entry_directory.h"
+
+#include "member/backoff.h"
+#include "member/retry_budget.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <map>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace detail
+{
+
+enum class address_state : std::uint8_t {
+    waiting,
+    connecting,
+    connected,
+};
+
+// One known address.
+struct address_record {
+    bool isConfigured = false;
+    address_state state = address_state::waiting;
+    mono_time due{}; // Next attempt.
+    mono_time reached{}; // Last time at which the address was connected or named.
+    entry_id entry; // Incarnation that answered last; zero if none.
+    backoff delay;
+};
+
+class entry_directory_private
+{
+public:
+    entry_directory_private(const entry_directory_settings &directorySettings, mono_time now)
+        : settings(directorySettings)
+        , budget(directorySettings.retryBurst, directorySettings.retryInterval, now)
+    {
+    }
+
+    entry_directory_settings settings;
+    retry_budget budget;
+    std::map<std::string, address_record, std::less<>> records;
+    absl::flat_hash_set<std::string> excluded;
+    std::uint64_t created = 0;
+
+    // Adds a record that is due at once. Each backoff gets a seed of its own, so that their delays differ.
+    address_record &add(const std::string &address, mono_time now)
+    {
+        const backoff delay(settings.firstDelay, settings.reconnectLimit, settings.seed + ++created);
+        return records.emplace(address, address_record{false, address_state::waiting, now, now, {}, delay}).first->second;
+    }
+
+    // Tells whether the incarnation that an address reached last is connected under another address. A second session with
+    // it would close the first one, since the newer session wins.
+    bool isAlias(const std::string &address, const address_record &record) const
+    {
+        if (record.entry == entry_id{}) {
+            return false;
+        }
+        for (const auto &[other, candidate] : records) {
+            if (other != address && candidate.state == address_state::connected && candidate.entry == record.entry) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void forget(mono_time now)
+    {
+        std::erase_if(records, [this, now](const auto &item) {
+            const address_record &record = item.second;
+            return !record.isConfigured && record.state == address_state::waiting && now - record.reached > settings.forgetAfter;
+        });
+    }
+};
+
+} // namespace detail
+
+entry_directory::entry_directory(const entry_directory_settings &settings, mono_time now)
+    : d(std::make_unique<detail::entry_directory_private>(settings, now))
+{
+}
+
+entry_directory::~entry_directory() = default;
+
+void entry_directory::configure(const std::string &address, mono_time now)
+{
+    if (d->excluded.contains(address)) {
+        return;
+    }
+    const auto found = d->records.find(address);
+    detail::address_record &record = found != d->records.end() ? found->second : d->add(address, now);
+    record.isConfigured = true;
+}
+
+// An address that is named again while it is unreachable keeps its age, else two processes would remind each other of a dead
+// entry for ever.
+bool entry_directory::learn(const std::string &address, mono_time now)
+{
+    if (address.empty() || d->excluded.contains(address)) {
+        return false;
+    }
+    if (d->records.contains(address)) {
+        return true;
+    }
+    if (d->records.size() >= d->settings.capacity) {
+        return false;
+    }
+    d->add(address, now);
+    return true;
+}
+
+void entry_directory::exclude(const std::string &address)
+{
+    d->excluded.insert(address);
+    d->records.erase(address);
+}
+
+void entry_directory::hurry(const std::string &address, mono_time now)
+{
+    const auto found = d->records.find(address);
+    if (found != d->records.end()) {
+        found->second.due = now;
+        found->second.entry = entry_id{};
+    }
+}
+
+std::vector<std::string> entry_directory::takeDue(mono_time now)
+{
+    d->forget(now);
+    std::vector<std::string> due;
+    for (auto &[address, record] : d->records) {
+        if (record.state != detail::address_state::waiting || record.due > now || d->isAlias(address, record)) {
+            continue;
+        }
+        if (!d->budget.take(now)) {
+            break;
+        }
+        record.state = detail::address_state::connecting;
+        due.push_back(address);
+    }
+    return due;
+}
+
+void entry_directory::setConnected(const std::string &address, const entry_id &entry)
+{
+    const auto found = d->records.find(address);
+    if (found != d->records.end()) {
+        found->second.state = detail::address_state::connected;
+        found->second.entry = entry;
+        found->second.delay.reset();
+    }
+}
+
+void entry_directory::setLost(const std::string &address, mono_time now)
+{
+    const auto found = d->records.find(address);
+    if (found == d->records.end()) {
+        return;
+    }
+    detail::address_record &record = found->second;
+    if (record.state == detail::address_state::connected) {
+        record.reached = now;
+    }
+    record.state = detail::address_state::waiting;
+    record.due = now + record.delay.next();
+}
+
+std::vector<std::string> entry_directory::connected() const
+{
+    std::vector<std::string> addresses;
+    for (const auto &[address, record] : d->records) {
+        if (record.state == detail::address_state::connected) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
+std::size_t entry_directory::size() const
+{
+    return d->records.size();
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/member/session_monitor.cpp
@@ -0,0 +1,41 @@
+#include "member/session_monitor.h"
+
+#include <algorithm>
+
+namespace teaselward
+{
+
+session_monitor::session_monitor(std::chrono::milliseconds lease, std::chrono::milliseconds heartbeat, mono_time now)
+    : m_lease(lease)
+    , m_heartbeat(heartbeat)
+    , m_received(now)
+    , m_sent(now)
+    , m_checked(now)
+{
+}
+
+void session_monitor::noteReceived(mono_time now)
+{
+    m_received = std::max(m_received, now);
+}
+
+void session_monitor::noteSent(mono_time now)
+{
+    m_sent = std::max(m_sent, now);
+}
+
+// A gap of half a lease is far above the regular distance of the checks.
+session_verdict session_monitor::check(mono_time now)
+{
+    const std::chrono::milliseconds half = m_lease / 2;
+    if (now - m_checked > half) {
+        m_received = std::max(m_received, now - half);
+    }
+    m_checked = now;
+    if (now - m_received > m_lease) {
+        return session_verdict::expired;
+    }
+    return now - m_sent >= m_heartbeat ? session_verdict::silent : session_verdict::alive;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/tests/member/session_monitor_test.cpp
@@ -0,0 +1,98 @@
+#include "member/session_monitor.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const mono_time Start = mono_time() + 1h;
+
+// Checks every 100 ms until a verdict other than alive comes.
+session_verdict checkUntil(session_monitor &monitor, mono_time &now, mono_time end)
+{
+    while (now < end) {
+        now += 100ms;
+        const session_verdict verdict = monitor.check(now);
+        if (verdict != session_verdict::alive) {
+            return verdict;
+        }
+    }
+    return session_verdict::alive;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(session_monitor_test)
+
+// Guards against heartbeats that are sent although other messages show that the process is alive.
+BOOST_AUTO_TEST_CASE(asksForNoHeartbeatWhileMessagesAreSent)
+{
+    session_monitor monitor(2s, 500ms, Start);
+    mono_time now = Start;
+    for (int step = 0; step < 100; ++step) {
+        now += 100ms;
+        if (step % 4 == 0) {
+            monitor.noteSent(now);
+        }
+        monitor.noteReceived(now);
+        BOOST_TEST((monitor.check(now) == session_verdict::alive));
+    }
+}
+
+// Guards against a silent session that the peer takes for a dead one.
+BOOST_AUTO_TEST_CASE(asksForAHeartbeatAfterSilence)
+{
+    session_monitor monitor(2s, 500ms, Start);
+    mono_time now = Start;
+    BOOST_TEST((checkUntil(monitor, now, Start + 10s) == session_verdict::silent));
+    BOOST_TEST((now - Start == 500ms));
+}
+
+// Guards against a peer that is kept for ever although it is paused or cut off without a reset.
+BOOST_AUTO_TEST_CASE(expiresWhenThePeerIsSilentForTheLease)
+{
+    session_monitor monitor(2s, 500ms, Start);
+    mono_time now = Start;
+    session_verdict verdict = session_verdict::alive;
+    while (verdict != session_verdict::expired && now < Start + 10s) {
+        now += 100ms;
+        monitor.noteSent(now);
+        verdict = monitor.check(now);
+    }
+    BOOST_TEST((verdict == session_verdict::expired));
+    BOOST_TEST((now - Start == 2100ms));
+}
+
+// Guards against a process that resumes after a pause and drops every session, although the messages wait in its sockets.
+BOOST_AUTO_TEST_CASE(givesThePeerTimeAfterAnOwnPause)
+{
+    session_monitor monitor(2s, 500ms, Start);
+    BOOST_TEST((monitor.check(Start + 100ms) == session_verdict::alive));
+    const mono_time resumed = Start + 1min;
+    BOOST_TEST((monitor.check(resumed) == session_verdict::silent));
+    monitor.noteSent(resumed);
+    monitor.noteReceived(resumed + 10ms);
+    BOOST_TEST((monitor.check(resumed + 100ms) == session_verdict::alive));
+}
+
+// Guards against a pause that makes a dead peer immortal.
+BOOST_AUTO_TEST_CASE(expiresAPeerThatStaysSilentAfterAnOwnPause)
+{
+    session_monitor monitor(2s, 500ms, Start);
+    mono_time now = Start + 1min;
+    session_verdict verdict = monitor.check(now);
+    while (verdict != session_verdict::expired && now < Start + 2min) {
+        now += 100ms;
+        monitor.noteSent(now);
+        verdict = monitor.check(now);
+    }
+    BOOST_TEST((verdict == session_verdict::expired));
+    BOOST_TEST((now - Start <= 1min + 1100ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
