--- /dev/null
+++ b/src/rpc/agent_context.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "agent/action/answer_fence.h"
+#include "agent/action/answer_revoke.h"
+#include "agent/action/answer_start.h"
+#include "agent/agent_event.h"
+#include "base/bounded_ring.h"
+#include "log/decision_log.h"
+#include "member/entry_directory.h"
+#include "rpc/agent_rpc_settings.h"
+#include "rpc/entry_session_table.h"
+#include "rpc/link_table.h"
+#include "rpc/pending_table.h"
+
+namespace teaselward
+{
+
+/** What the sessions of an agent share. */
+struct agent_context {
+    const agent_rpc_settings &settings;
+    agent_info &self; ///< Its leaving flag changes once.
+    bounded_ring<agent_event> &events;
+    decision_log &log;
+    link_table &links;
+    entry_directory &directory;
+    entry_session_table &sessions;
+    pending_table<answer_start> &starts;
+    pending_table<answer_revoke> &revokes;
+    pending_table<answer_fence> &fences;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/agent_loop.cpp
@@ -0,0 +1,205 @@
+#include "rpc/agent_loop.h"
+
+#include "rpc/action_table.h"
+#include "rpc/agent_context.h"
+#include "rpc/agent_port.h"
+#include "rpc/command_pump.h"
+#include "rpc/dialer.h"
+#include "rpc/entry_session.h"
+#include "rpc/rpc_limits.h"
+#include "rpc/tick_interval.h"
+
+#include <utility>
+
+namespace teaselward
+{
+
+namespace detail
+{
+
+class agent_loop_private final
+{
+public:
+    agent_loop_private(const agent_rpc_settings &settings,
+                       bounded_ring<agent_event> &events,
+                       bounded_ring<agent_action> &commands,
+                       wake_fd &wake,
+                       traffic_counter &traffic,
+                       decision_log &log,
+                       kj::AsyncIoContext &loop);
+
+    void run();
+
+private:
+    using handler = void (agent_loop_private::*)(agent_action &&);
+    static const action_table<agent_action, handler> Handlers;
+
+    void answerStart(agent_action &&action);
+    void answerRevoke(agent_action &&action);
+    void answerFence(agent_action &&action);
+    void grantCredits(agent_action &&action);
+    void announceLeaving(agent_action &&action);
+    void refuse(agent_action &&action);
+
+    void handle(agent_action &&action);
+    void open(const std::string &address, kj::Own<kj::AsyncIoStream> stream);
+    kj::Promise<void> tick();
+
+    kj::AsyncIoContext &m_io;
+    std::chrono::milliseconds m_tick;
+    agent_info m_self;
+    pending_table<answer_start> m_starts;
+    pending_table<answer_revoke> m_revokes;
+    pending_table<answer_fence> m_fences;
+    entry_directory m_directory;
+    entry_session_table m_sessions;
+    link_table m_links;
+    agent_context m_context;
+    dialer m_dialer;
+    command_pump<agent_action> m_pump;
+};
+
+// Indexed by the alternative of agent_action; those for other adapters are refused.
+const action_table<agent_action, agent_loop_private::handler> agent_loop_private::Handlers = action_table<agent_action, handler>(&agent_loop_private::refuse)
+                                                                                                 .set<answer_start>(&agent_loop_private::answerStart)
+                                                                                                 .set<answer_revoke>(&agent_loop_private::answerRevoke)
+                                                                                                 .set<answer_fence>(&agent_loop_private::answerFence)
+                                                                                                 .set<grant_credits>(&agent_loop_private::grantCredits)
+                                                                                                 .set<announce_leaving>(&agent_loop_private::announceLeaving);
+
+agent_loop_private::agent_loop_private(const agent_rpc_settings &settings,
+                                       bounded_ring<agent_event> &events,
+                                       bounded_ring<agent_action> &commands,
+                                       wake_fd &wake,
+                                       traffic_counter &traffic,
+                                       decision_log &log,
+                                       kj::AsyncIoContext &loop)
+    : m_io(loop)
+    , m_tick(tickInterval(settings.lease, settings.heartbeat))
+    , m_self(settings.self)
+    , m_directory(
+          entry_directory_settings{
+              .reconnectLimit = settings.reconnectLimit, .forgetAfter = settings.forgetAfter, .capacity = MaxKnownEntries, .seed = settings.self.id.value},
+          mono_clock::now())
+    , m_links(loop.provider->getTimer(), settings.lease, settings.heartbeat, traffic, log)
+    , m_context{settings, m_self, events, log, m_links, m_directory, m_sessions, m_starts, m_revokes, m_fences}
+    , m_dialer(
+          loop.provider->getNetwork(),
+          loop.provider->getTimer(),
+          m_directory,
+          settings.lease,
+          [this](const std::string &address, kj::Own<kj::AsyncIoStream> stream) {
+              open(address, std::move(stream));
+          },
+          [](const std::string & /*address*/) {})
+    , m_pump(commands, wake, loop.unixEventPort, [this](agent_action &&action) {
+        handle(std::move(action));
+    })
+{
+    for (const std::string &address : settings.entries) {
+        m_directory.configure(address, mono_clock::now());
+    }
+}
+
+void agent_loop_private::run()
+{
+    auto ticking = tick().eagerlyEvaluate(nullptr);
+    m_pump.run().wait(m_io.waitScope);
+    m_links.flush(FlushTime).wait(m_io.waitScope);
+}
+
+kj::Promise<void> agent_loop_private::tick()
+{
+    const mono_time now = mono_clock::now();
+    m_links.check(now);
+    m_dialer.dial(now);
+    return m_io.provider->getTimer().afterDelay(m_tick.count() * kj::MILLISECONDS).then([this] {
+        return tick();
+    });
+}
+
+// Starts a session on a new connection and registers there.
+void agent_loop_private::open(const std::string &address, kj::Own<kj::AsyncIoStream> stream)
+{
+    rpc_link *link = m_links.add(std::move(stream), link_side::dialed);
+    if (link == nullptr) {
+        m_directory.setLost(address, mono_clock::now());
+        return;
+    }
+    auto session = std::make_shared<entry_session>(m_context, address, link->number());
+    link->setUser(session);
+    auto gate = link->connect().castAs<wire::EntryGate>();
+    m_links.watch(*link);
+    session->registerAt(std::move(gate), kj::heap<agent_port>(m_context, session));
+}
+
+void agent_loop_private::handle(agent_action &&action)
+{
+    (this->*Handlers.at(action))(std::move(action));
+}
+
+void agent_loop_private::answerStart(agent_action &&action)
+{
+    auto &answer = std::get<answer_start>(action);
+    const std::uint64_t number = answer.call.value;
+    m_starts.resolve(number, std::move(answer));
+}
+
+void agent_loop_private::answerRevoke(agent_action &&action)
+{
+    auto &answer = std::get<answer_revoke>(action);
+    const std::uint64_t number = answer.call.value;
+    m_revokes.resolve(number, std::move(answer));
+}
+
+void agent_loop_private::answerFence(agent_action &&action)
+{
+    auto &answer = std::get<answer_fence>(action);
+    const std::uint64_t number = answer.call.value;
+    m_fences.resolve(number, std::move(answer));
+}
+
+void agent_loop_private::grantCredits(agent_action &&action)
+{
+    const auto &grant = std::get<grant_credits>(action);
+    const auto found = m_sessions.find(grant.entry);
+    if (found != m_sessions.end()) {
+        found->second->sendCredits(grant.delta);
+    }
+}
+
+// Later registrations carry the flag.
+void agent_loop_private::announceLeaving(agent_action && /*action*/)
+{
+    m_self.leaving = true;
+    for (const auto &[id, session] : m_sessions) {
+        session->sendLeaving();
+    }
+}
+
+void agent_loop_private::refuse(agent_action &&action)
+{
+    m_context.log.write(log_part::rpc, "action refused, not for this adapter index=" + std::to_string(action.index()));
+}
+
+} // namespace detail
+
+agent_loop::agent_loop(const agent_rpc_settings &settings,
+                       bounded_ring<agent_event> &events,
+                       bounded_ring<agent_action> &commands,
+                       wake_fd &wake,
+                       traffic_counter &traffic,
+                       decision_log &log,
+                       kj::AsyncIoContext &io)
+    : d(std::make_unique<detail::agent_loop_private>(settings, events, commands, wake, traffic, log, io))
+{
+}
+
+agent_loop::~agent_loop() = default;
+
+void agent_loop::run()
+{
+    d->run();
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/agent_port.cpp
@@ -0,0 +1,136 @@
+#include "rpc/agent_port.h"
+
+#include "rpc/list_codec.h"
+#include "rpc/rpc_limits.h"
+#include "rpc/task_codec.h"
+#include "rpc/ticket_codec.h"
+
+#include <kj/debug.h>
+
+#include <utility>
+
+namespace teaselward
+{
+
+agent_port::agent_port(agent_context &context, std::weak_ptr<entry_session> session)
+    : m_context(context)
+    , m_session(std::move(session))
+{
+}
+
+std::shared_ptr<entry_session> agent_port::session() const
+{
+    auto session = m_session.lock();
+    KJ_REQUIRE(session != nullptr, "the session is closed");
+    return session;
+}
+
+entry_id agent_port::from() const
+{
+    const auto current = session();
+    KJ_REQUIRE(current->entry().has_value(), "the session is not registered");
+    return current->entry()->id;
+}
+
+// Refuses a call above the bound of the session; the entry then treats it as unanswered.
+void agent_port::countCall()
+{
+    KJ_REQUIRE(m_calls < MaxSessionCalls, "too many calls in progress");
+    ++m_calls;
+}
+
+// A call can overtake the answer to the registration inside the event loop, and the decisions must learn of the entry first.
+template<typename F>
+kj::Promise<void> agent_port::afterJoin(F &&handle)
+{
+    const auto current = session();
+    if (current->entry()) {
+        return handle();
+    }
+    return current->whenJoined().then(std::forward<F>(handle));
+}
+
+kj::Promise<void> agent_port::ping(PingContext call)
+{
+    const std::uint64_t offset = call.getParams().getConfigOffset();
+    return afterJoin([this, offset]() -> kj::Promise<void> {
+        session()->offerSnapshot(offset);
+        return kj::READY_NOW;
+    });
+}
+
+kj::Promise<void> agent_port::start(StartContext call)
+{
+    return afterJoin([this, call]() mutable -> kj::Promise<void> {
+        const entry_id entry = from();
+        start_order order = decode(call.getParams().getOrder());
+        call.releaseParams();
+        countCall();
+        auto pending = m_context.starts.add();
+        m_context.events.push(start_received{call_id{pending.number}, entry, std::move(order)});
+        return pending.answer
+            .then([call](const answer_start &answer) mutable {
+                auto results = call.getResults();
+                encode(answer.outcome, results.initOutcome());
+                results.setCredits(answer.credits);
+            })
+            .attach(kj::defer([this] {
+                --m_calls;
+            }));
+    });
+}
+
+kj::Promise<void> agent_port::revoke(RevokeContext call)
+{
+    return afterJoin([this, call]() mutable -> kj::Promise<void> {
+        const entry_id entry = from();
+        const task_id id = decode(call.getParams().getId());
+        countCall();
+        auto pending = m_context.revokes.add();
+        m_context.events.push(revoke_received{call_id{pending.number}, entry, id});
+        return pending.answer
+            .then([call](const answer_revoke &answer) mutable {
+                encode(answer.held, call.getResults().initHeld());
+            })
+            .attach(kj::defer([this] {
+                --m_calls;
+            }));
+    });
+}
+
+kj::Promise<void> agent_port::fence(FenceContext call)
+{
+    return afterJoin([this, call]() mutable -> kj::Promise<void> {
+        const entry_id entry = from();
+        const ticket_id ticket = decode(call.getParams().getTicket());
+        countCall();
+        auto pending = m_context.fences.add();
+        m_context.events.push(fence_received{call_id{pending.number}, entry, ticket});
+        return pending.answer
+            .then([call](const answer_fence &answer) mutable {
+                encodeHeld(answer.held, call.getResults().initHeld(static_cast<unsigned>(answer.held.size())));
+            })
+            .attach(kj::defer([this] {
+                --m_calls;
+            }));
+    });
+}
+
+kj::Promise<void> agent_port::demand(DemandContext call)
+{
+    const std::uint32_t queued = call.getParams().getQueued();
+    return afterJoin([this, queued]() -> kj::Promise<void> {
+        m_context.events.push(demand_received{from(), queued});
+        return kj::READY_NOW;
+    });
+}
+
+kj::Promise<void> agent_port::entries(EntriesContext call)
+{
+    for (const std::string &address : decodeTexts(call.getParams().getAddresses())) {
+        m_context.directory.learn(address, mono_clock::now());
+    }
+    return kj::READY_NOW;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/agent_port.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "rpc/agent_context.h"
+#include "rpc/entry_session.h"
+#include "rpc/wire.capnp.h"
+
+#include <cstddef>
+#include <memory>
+
+namespace teaselward
+{
+
+/** Capability that an agent gives to an entry. It turns the entry's calls into events and waits for their answers. */
+class agent_port : public wire::AgentPort::Server
+{
+public:
+    /**
+     * Creates the capability of one session.
+     * @param context what the sessions share
+     * @param session the session; calls fail once it is gone
+     */
+    agent_port(agent_context &context, std::weak_ptr<entry_session> session);
+
+    kj::Promise<void> ping(PingContext call) override;
+    kj::Promise<void> start(StartContext call) override;
+    kj::Promise<void> revoke(RevokeContext call) override;
+    kj::Promise<void> fence(FenceContext call) override;
+    kj::Promise<void> demand(DemandContext call) override;
+    kj::Promise<void> entries(EntriesContext call) override;
+
+private:
+    std::shared_ptr<entry_session> session() const;
+    entry_id from() const;
+    void countCall();
+    template<typename F>
+    kj::Promise<void> afterJoin(F &&handle);
+
+    agent_context &m_context;
+    std::weak_ptr<entry_session> m_session;
+    std::size_t m_calls = 0; // Calls that wait for their answers.
+};
+
+} // namespace teaselward
--- a/src/rpc/agent_rpc.h
+++ b/src/rpc/agent_rpc.h
@@ -5,6 +5,7 @@
 #include "base/bounded_ring.h"
 #include "log/decision_log.h"
 #include "rpc/agent_rpc_settings.h"
+#include "rpc/rpc_traffic.h"
 
 #include <memory>
 
@@ -42,9 +43,15 @@
      */
     bool post(agent_action &&action);
 
-    /** Closes all connections and ends the thread. */
+    /**
+     * Sends what was handed over, closes all connections and ends the thread. No events are raised for the closed connections.
+     * The ring of events must be closed or still be read, since the thread may be waiting for room in it.
+     */
     void stop();
 
+    /** @return bytes of all connections since the start */
+    rpc_traffic traffic() const;
+
 private:
     std::unique_ptr<detail::agent_rpc_private> d;
 };
--- a/src/rpc/agent_rpc_settings.h
+++ b/src/rpc/agent_rpc_settings.h
@@ -10,6 +10,8 @@
 namespace teaselward
 {
 
+class snapshot_source;
+
 /** Settings of the connections of an agent to the entries. */
 struct agent_rpc_settings {
     agent_info self;
@@ -17,6 +19,8 @@
     std::chrono::milliseconds lease = std::chrono::seconds(2); ///< A session without a message for this time is lost.
     std::chrono::milliseconds heartbeat = std::chrono::milliseconds(500); ///< Sent when nothing else was sent for this time.
     std::chrono::milliseconds reconnectLimit = std::chrono::seconds(2); ///< Longest delay of the jittered backoff.
+    std::chrono::milliseconds forgetAfter = std::chrono::minutes(10); ///< A learnt entry that stays gone for this time is dropped.
+    snapshot_source *snapshots = nullptr; ///< Receives copies of the configuration; may be null, and outlives the adapter.
     std::size_t ringCapacity = 1024; ///< Commands on their way to the thread.
 };
 
--- /dev/null
+++ b/src/rpc/agent_session.cpp
@@ -0,0 +1,166 @@
+#include "rpc/agent_session.h"
+
+#include "rpc/list_codec.h"
+#include "rpc/rpc_limits.h"
+#include "rpc/snapshot_source.h"
+#include "rpc/task_codec.h"
+#include "rpc/ticket_codec.h"
+
+#include <utility>
+
+namespace teaselward
+{
+
+agent_session::agent_session(entry_context &context, std::uint64_t link, agent_info info, wire::AgentPort::Client port)
+    : m_context(context)
+    , m_link(link)
+    , m_info(std::move(info))
+    , m_port(std::move(port))
+    , m_calls(*this)
+{
+}
+
+// The agent has given up the older session, so its calls have no answer any more.
+void agent_session::join()
+{
+    const auto older = m_context.agents.find(m_info.id);
+    if (older != m_context.agents.end()) {
+        m_context.links.close(older->second->link(), "replaced by a newer session");
+    }
+    m_context.agents[m_info.id] = this;
+    m_context.events.push(agent_joined{m_info, 0, m_context.settings.lease});
+}
+
+const agent_info &agent_session::info() const
+{
+    return m_info;
+}
+
+std::uint64_t agent_session::link() const
+{
+    return m_link;
+}
+
+// Each call is in the table until its answer, its failure or the loss of the session takes it out, so that exactly one event
+// is raised.
+void agent_session::start(const start_order &order)
+{
+    const std::uint64_t number = ++m_lastCall;
+    m_tasksInCall.emplace(number, order.id);
+    auto request = m_port.startRequest();
+    encode(order, request.initOrder());
+    m_calls.add(request.send()
+                    .then([this, number, id = order.id](auto &&response) {
+                        task_finished event{m_info.id, id, decode(response.getOutcome()), response.getCredits()};
+                        if (m_tasksInCall.erase(number) > 0) {
+                            m_context.events.push(std::move(event));
+                        }
+                    })
+                    .catch_([this, number](kj::Exception && /*exception*/) {
+                        failTask(number);
+                    }));
+}
+
+void agent_session::revoke(const task_id &id, std::chrono::milliseconds delay)
+{
+    const std::uint64_t number = ++m_lastCall;
+    m_tasksInCall.emplace(number, id);
+    if (delay <= delay.zero()) {
+        sendRevoke(number, id);
+        return;
+    }
+    m_calls.add(m_context.timer.afterDelay(delay.count() * kj::MILLISECONDS).then([this, number, id] {
+        sendRevoke(number, id);
+    }));
+}
+
+void agent_session::sendRevoke(std::uint64_t number, const task_id &id)
+{
+    auto request = m_port.revokeRequest();
+    encode(id, request.initId());
+    m_calls.add(request.send()
+                    .then([this, number](auto &&response) {
+                        task_revoked event{m_info.id, decode(response.getHeld())};
+                        if (m_tasksInCall.erase(number) > 0) {
+                            m_context.events.push(std::move(event));
+                        }
+                    })
+                    .catch_([this, number](kj::Exception && /*exception*/) {
+                        failTask(number);
+                    }));
+}
+
+void agent_session::failTask(std::uint64_t number)
+{
+    const auto found = m_tasksInCall.find(number);
+    if (found == m_tasksInCall.end()) {
+        return;
+    }
+    const task_id id = found->second;
+    m_tasksInCall.erase(found);
+    m_context.events.push(start_unanswered{m_info.id, id});
+}
+
+void agent_session::fence(const ticket_id &ticket)
+{
+    const std::uint64_t number = ++m_lastCall;
+    m_fencesInCall.emplace(number, ticket);
+    auto request = m_port.fenceRequest();
+    encode(ticket, request.initTicket());
+    m_calls.add(request.send()
+                    .then([this, number, ticket](auto &&response) {
+                        ticket_fenced event{m_info.id, ticket, true, decodeHeld(response.getHeld())};
+                        if (m_fencesInCall.erase(number) > 0) {
+                            m_context.events.push(std::move(event));
+                        }
+                    })
+                    .catch_([this, number, ticket](kj::Exception && /*exception*/) {
+                        if (m_fencesInCall.erase(number) > 0) {
+                            m_context.events.push(ticket_fenced{m_info.id, ticket, false, {}});
+                        }
+                    }));
+}
+
+void agent_session::sendDemand(std::uint32_t queued)
+{
+    auto request = m_port.demandRequest();
+    request.setQueued(queued);
+    m_calls.add(request.send().ignoreResult());
+}
+
+void agent_session::sendEntries(const std::vector<std::string> &addresses)
+{
+    auto request = m_port.entriesRequest();
+    encodeTexts(addresses, request.initAddresses(static_cast<unsigned>(addresses.size())));
+    m_calls.add(request.send().ignoreResult());
+}
+
+void agent_session::sendPing()
+{
+    auto request = m_port.pingRequest();
+    const snapshot_source *source = m_context.settings.snapshots;
+    request.setConfigOffset(source != nullptr ? source->offset() : 0);
+    m_calls.add(request.send().ignoreResult());
+}
+
+void agent_session::handleLost()
+{
+    const auto found = m_context.agents.find(m_info.id);
+    if (found != m_context.agents.end() && found->second == this) {
+        m_context.agents.erase(found);
+    }
+    for (const auto &[number, id] : std::exchange(m_tasksInCall, {})) {
+        m_context.events.push(start_unanswered{m_info.id, id});
+    }
+    for (const auto &[number, ticket] : std::exchange(m_fencesInCall, {})) {
+        m_context.events.push(ticket_fenced{m_info.id, ticket, false, {}});
+    }
+    m_context.events.push(agent_lost{m_info.id});
+}
+
+// The loss of the connection is reported by the table of connections.
+void agent_session::taskFailed(kj::Exception && /*exception*/)
+{
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/agent_session_port.cpp
@@ -0,0 +1,54 @@
+#include "rpc/agent_session_port.h"
+
+#include "rpc/snapshot_codec.h"
+#include "rpc/snapshot_source.h"
+
+#include <kj/debug.h>
+
+#include <utility>
+
+namespace teaselward
+{
+
+agent_session_port::agent_session_port(entry_context &context, std::weak_ptr<agent_session> session)
+    : m_context(context)
+    , m_session(std::move(session))
+{
+}
+
+// A session that was replaced or lost must not change the credits of the present one.
+agent_id agent_session_port::current() const
+{
+    const auto session = m_session.lock();
+    KJ_REQUIRE(session != nullptr, "the session is closed");
+    const auto found = m_context.agents.find(session->info().id);
+    KJ_REQUIRE(found != m_context.agents.end() && found->second == session.get(), "the session is closed");
+    return session->info().id;
+}
+
+kj::Promise<void> agent_session_port::ping(PingContext /*call*/)
+{
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> agent_session_port::credits(CreditsContext call)
+{
+    m_context.events.push(credits_granted{current(), call.getParams().getDelta()});
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> agent_session_port::leaving(LeavingContext /*call*/)
+{
+    m_context.events.push(agent_leaving{current()});
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> agent_session_port::snapshot(SnapshotContext call)
+{
+    const snapshot_source *source = m_context.settings.snapshots;
+    KJ_REQUIRE(source != nullptr, "no copy of the configuration");
+    encode(source->copy(), call.getResults().initSnapshot());
+    return kj::READY_NOW;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/agent_session_port.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "rpc/agent_session.h"
+#include "rpc/entry_context.h"
+#include "rpc/wire.capnp.h"
+
+#include <memory>
+
+namespace teaselward
+{
+
+/** Capability that an entry gives to a registered agent. */
+class agent_session_port : public wire::AgentSession::Server
+{
+public:
+    /**
+     * Creates the capability of one session.
+     * @param context what the sessions share
+     * @param session the session; calls fail once it is gone
+     */
+    agent_session_port(entry_context &context, std::weak_ptr<agent_session> session);
+
+    kj::Promise<void> ping(PingContext call) override;
+    kj::Promise<void> credits(CreditsContext call) override;
+    kj::Promise<void> leaving(LeavingContext call) override;
+    kj::Promise<void> snapshot(SnapshotContext call) override;
+
+private:
+    agent_id current() const;
+
+    entry_context &m_context;
+    std::weak_ptr<agent_session> m_session;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/body_size.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "core/held_task.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace teaselward
+{
+
+/** @return bytes of all bodies together */
+inline std::size_t bodySize(const std::vector<std::string> &bodies)
+{
+    std::size_t size = 0;
+    for (const std::string &body : bodies) {
+        size += body.size();
+    }
+    return size;
+}
+
+/** @return bytes of the bodies of all outcomes together */
+inline std::size_t bodySize(const std::vector<held_task> &held)
+{
+    std::size_t size = 0;
+    for (const held_task &task : held) {
+        size += task.outcome.body.size();
+    }
+    return size;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/entry_context.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/bounded_ring.h"
+#include "core/entry_info.h"
+#include "core/job_answer.h"
+#include "job/entry_event.h"
+#include "log/decision_log.h"
+#include "member/entry_directory.h"
+#include "rpc/agent_session_table.h"
+#include "rpc/entry_rpc_settings.h"
+#include "rpc/link_table.h"
+#include "rpc/pending_table.h"
+
+#include <kj/timer.h>
+
+namespace teaselward
+{
+
+class forwarder;
+class peer_table;
+
+/** What the sessions of an entry share. */
+struct entry_context {
+    const entry_rpc_settings &settings;
+    const entry_info &self;
+    bounded_ring<entry_event> &events;
+    decision_log &log;
+    kj::Timer &timer;
+    link_table &links;
+    entry_directory &directory;
+    agent_session_table &agents;
+    peer_table &peers;
+    forwarder &forwards;
+    pending_table<job_answer> &requests; ///< Requests of peers that wait for the decision thread.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/entry_gate.cpp
@@ -0,0 +1,105 @@
+#include "rpc/entry_gate.h"
+
+#include "rpc/agent_session.h"
+#include "rpc/agent_session_port.h"
+#include "rpc/entry_port.h"
+#include "rpc/info_codec.h"
+#include "rpc/peer_session.h"
+#include "rpc/rpc_limits.h"
+#include "rpc/snapshot_source.h"
+#include "rpc/text_codec.h"
+#include "rpc/welcome_codec.h"
+
+#include <kj/debug.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace teaselward
+{
+
+entry_gate::entry_gate(entry_context &context, std::uint64_t link)
+    : m_context(context)
+    , m_link(link)
+{
+}
+
+rpc_link &entry_gate::unusedLink() const
+{
+    rpc_link *link = m_context.links.find(m_link);
+    KJ_REQUIRE(link != nullptr && !link->isRegistered(), "the connection has a session already");
+    return *link;
+}
+
+// Closes the connection of a peer with another version after the answer had time to leave.
+bool entry_gate::checkVersion(std::uint32_t version, std::string_view from, const std::string &address)
+{
+    if (version == ProtocolVersion) {
+        return true;
+    }
+    m_context.log.write(log_part::rpc,
+                        "connection refused reason=version_mismatch from=" + std::string(from) + " address=" + address + " version=" + std::to_string(version)
+                            + " own=" + std::to_string(ProtocolVersion));
+    m_context.links.closeAfter(m_link, RefusalTime, "version mismatch");
+    return false;
+}
+
+welcome entry_gate::answer(bool isAccepted) const
+{
+    welcome value;
+    value.accepted = isAccepted;
+    value.version = ProtocolVersion;
+    if (isAccepted) {
+        value.self = m_context.self;
+        value.lease = m_context.settings.lease;
+        value.entries = m_context.directory.connected();
+        const snapshot_source *source = m_context.settings.snapshots;
+        value.configOffset = source != nullptr ? source->offset() : 0;
+    }
+    return value;
+}
+
+kj::Promise<void> entry_gate::registerAgent(RegisterAgentContext call)
+{
+    rpc_link &link = unusedLink();
+    const auto params = call.getParams();
+    // The announcement of another version may mean something else, so only its address is read, for the log.
+    if (!checkVersion(params.getVersion(), "agent", plainText(params.getInfo().getAddress()))) {
+        encode(answer(false), call.getResults().initWelcome());
+        return kj::READY_NOW;
+    }
+    auto session = std::make_shared<agent_session>(m_context, m_link, decode(params.getInfo()), params.getAgent());
+    link.setRegistered();
+    link.setUser(session);
+    auto results = call.getResults();
+    encode(answer(true), results.initWelcome());
+    results.setSession(kj::heap<agent_session_port>(m_context, session));
+    session->join();
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> entry_gate::greet(GreetContext call)
+{
+    rpc_link &link = unusedLink();
+    const auto params = call.getParams();
+    if (!checkVersion(params.getVersion(), "entry", plainText(params.getInfo().getAddress()))) {
+        encode(answer(false), call.getResults().initWelcome());
+        return kj::READY_NOW;
+    }
+    const entry_info peer = decode(params.getInfo());
+    auto results = call.getResults();
+    encode(answer(true), results.initWelcome());
+    // A process that connects to itself closes the connection when it reads its own identifier.
+    if (peer.id == m_context.self.id) {
+        return kj::READY_NOW;
+    }
+    auto session = std::make_shared<peer_session>(m_context, m_link, std::string());
+    link.setRegistered();
+    link.setUser(session);
+    results.setSession(kj::heap<entry_port>(m_context, session));
+    session->join(peer, params.getPeer());
+    return kj::READY_NOW;
+}
+
+} // namespace teaselward
--- a/src/rpc/entry_rpc.h
+++ b/src/rpc/entry_rpc.h
@@ -5,8 +5,10 @@
 #include "job/entry_event.h"
 #include "log/decision_log.h"
 #include "rpc/entry_rpc_settings.h"
+#include "rpc/rpc_traffic.h"
 
 #include <memory>
+#include <string>
 
 namespace teaselward
 {
@@ -43,9 +45,18 @@
      */
     bool post(entry_action &&action);
 
-    /** Closes all connections and ends the thread. */
+    /**
+     * Sends what was handed over, closes all connections and ends the thread. No events are raised for the closed connections.
+     * The ring of events must be closed or still be read, since the thread may be waiting for room in it.
+     */
     void stop();
 
+    /** @return address that the adapter listens on, with the port that the system chose if the settings give port 0 */
+    const std::string &address() const;
+
+    /** @return bytes of all connections since the start */
+    rpc_traffic traffic() const;
+
 private:
     std::unique_ptr<detail::entry_rpc_private> d;
 };
--- a/src/rpc/entry_rpc_settings.h
+++ b/src/rpc/entry_rpc_settings.h
@@ -10,12 +10,18 @@
 namespace teaselward
 {
 
+class snapshot_source;
+
 /** Settings of the connections of an entry to agents and to other entries. */
 struct entry_rpc_settings {
     entry_info self; ///< Its address is the one that the adapter listens on.
     std::vector<std::string> peers; ///< Addresses of other entries as IP:PORT.
     std::chrono::milliseconds lease = std::chrono::seconds(2); ///< A session without a message for this time is lost.
     std::chrono::milliseconds heartbeat = std::chrono::milliseconds(500); ///< Sent when nothing else was sent for this time.
+    std::chrono::milliseconds reconnectLimit = std::chrono::seconds(2); ///< Longest delay of the jittered backoff.
+    std::chrono::milliseconds forgetAfter = std::chrono::minutes(10); ///< A learnt entry that stays gone for this time is dropped.
+    std::chrono::milliseconds forwardConnect = std::chrono::seconds(1); ///< Longest time to connect to the home of a ticket.
+    snapshot_source *snapshots = nullptr; ///< Copy of the configuration; may be null, and outlives the adapter.
     std::size_t ringCapacity = 8192; ///< Commands on their way to the thread.
 };
 
--- /dev/null
+++ b/src/rpc/entry_session.cpp
@@ -0,0 +1,141 @@
+#include "rpc/entry_session.h"
+
+#include "rpc/info_codec.h"
+#include "rpc/rpc_limits.h"
+#include "rpc/snapshot_codec.h"
+#include "rpc/snapshot_source.h"
+#include "rpc/welcome_codec.h"
+
+#include <utility>
+
+namespace teaselward
+{
+
+entry_session::entry_session(agent_context &context, std::string address, std::uint64_t link)
+    : m_context(context)
+    , m_address(std::move(address))
+    , m_link(link)
+    , m_remote(nullptr)
+    , m_whenJoined(nullptr)
+    , m_tasks(*this)
+{
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    m_joined = std::move(pair.fulfiller);
+    m_whenJoined = pair.promise.fork();
+}
+
+void entry_session::registerAt(wire::EntryGate::Client gate, wire::AgentPort::Client agent)
+{
+    auto request = gate.registerAgentRequest();
+    request.setVersion(ProtocolVersion);
+    encode(m_context.self, request.initInfo());
+    request.setAgent(std::move(agent));
+    m_tasks.add(request.send()
+                    .then([this](auto &&response) {
+                        join(decode(response.getWelcome()), response.getSession());
+                    })
+                    .catch_([this](kj::Exception && /*exception*/) {
+                        m_context.links.close(m_link, "registration failed");
+                    }));
+}
+
+// Two addresses can lead to the same entry. The entry keeps the newer session, so the older one ends here as well, before the
+// new one is reported.
+void entry_session::join(const welcome &answer, wire::AgentSession::Client remote)
+{
+    if (!answer.accepted) {
+        m_context.log.write(log_part::rpc,
+                            "registration refused reason=version_mismatch address=" + m_address + " version=" + std::to_string(answer.version)
+                                + " own=" + std::to_string(ProtocolVersion));
+        m_context.links.close(m_link, "version mismatch");
+        return;
+    }
+    rpc_link *link = m_context.links.find(m_link);
+    if (link == nullptr) {
+        return;
+    }
+    const auto older = m_context.sessions.find(answer.self.id);
+    if (older != m_context.sessions.end()) {
+        m_context.links.close(older->second->link(), "replaced by a newer session");
+    }
+    link->setRegistered();
+    m_entry = answer.self;
+    m_remote = std::move(remote);
+    m_context.sessions[answer.self.id] = this;
+    m_context.directory.setConnected(m_address, answer.self.id);
+    for (const std::string &address : answer.entries) {
+        m_context.directory.learn(address, mono_clock::now());
+    }
+    m_context.events.push(entry_joined{answer.self});
+    m_joined->fulfill();
+    offerSnapshot(answer.configOffset);
+}
+
+const std::optional<entry_info> &entry_session::entry() const
+{
+    return m_entry;
+}
+
+kj::Promise<void> entry_session::whenJoined()
+{
+    return m_whenJoined.addBranch();
+}
+
+std::uint64_t entry_session::link() const
+{
+    return m_link;
+}
+
+void entry_session::sendCredits(std::int32_t delta)
+{
+    auto request = m_remote.creditsRequest();
+    request.setDelta(delta);
+    m_tasks.add(request.send().ignoreResult());
+}
+
+void entry_session::sendLeaving()
+{
+    m_tasks.add(m_remote.leavingRequest().send().ignoreResult());
+}
+
+void entry_session::offerSnapshot(std::uint64_t offset)
+{
+    snapshot_source *source = m_context.settings.snapshots;
+    if (source == nullptr || m_isFetching || !source->wants(offset)) {
+        return;
+    }
+    m_isFetching = true;
+    m_tasks.add(m_remote.snapshotRequest()
+                    .send()
+                    .then([source](auto &&response) {
+                        source->receive(decode(response.getSnapshot()));
+                    })
+                    .attach(kj::defer([this] {
+                        m_isFetching = false;
+                    })));
+}
+
+void entry_session::sendPing()
+{
+    m_tasks.add(m_remote.pingRequest().send().ignoreResult());
+}
+
+void entry_session::handleLost()
+{
+    m_context.directory.setLost(m_address, mono_clock::now());
+    if (!m_entry) {
+        return;
+    }
+    const auto found = m_context.sessions.find(m_entry->id);
+    if (found != m_context.sessions.end() && found->second == this) {
+        m_context.sessions.erase(found);
+    }
+    m_context.events.push(entry_lost{m_entry->id});
+}
+
+// The loss of the connection is reported by the table of connections.
+void entry_session::taskFailed(kj::Exception && /*exception*/)
+{
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/entry_session.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "rpc/agent_context.h"
+#include "rpc/link_user.h"
+#include "rpc/welcome.h"
+#include "rpc/wire.capnp.h"
+
+#include <kj/async.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Session of an agent with one entry, from the connection to its loss. */
+class entry_session : public link_user, private kj::TaskSet::ErrorHandler
+{
+public:
+    /**
+     * Creates a session that is not registered yet.
+     * @param context what the sessions share
+     * @param address address that was connected
+     * @param link number of the connection
+     */
+    entry_session(agent_context &context, std::string address, std::uint64_t link);
+
+    /**
+     * Sends the registration.
+     * @param gate bootstrap capability of the entry
+     * @param agent capability that the entry calls
+     */
+    void registerAt(wire::EntryGate::Client gate, wire::AgentPort::Client agent);
+
+    /** @return the entry, or nothing before the registration is answered */
+    const std::optional<entry_info> &entry() const;
+
+    /** @return promise that resolves when the registration is answered */
+    kj::Promise<void> whenJoined();
+
+    /** @return number of the connection */
+    std::uint64_t link() const;
+
+    /** @param delta change of the entry's credits */
+    void sendCredits(std::int32_t delta);
+
+    /** Tells the entry that no new work is accepted. */
+    void sendLeaving();
+
+    /**
+     * Fetches the entry's copy of the configuration if the process wants it.
+     * @param offset log offset that the copy covers
+     */
+    void offerSnapshot(std::uint64_t offset);
+
+    void sendPing() override;
+    void handleLost() override;
+
+private:
+    void join(const welcome &answer, wire::AgentSession::Client remote);
+    void taskFailed(kj::Exception &&exception) override;
+
+    agent_context &m_context;
+    std::string m_address;
+    std::uint64_t m_link;
+    std::optional<entry_info> m_entry;
+    bool m_isFetching = false;
+    wire::AgentSession::Client m_remote;
+    kj::Own<kj::PromiseFulfiller<void>> m_joined;
+    kj::ForkedPromise<void> m_whenJoined;
+    kj::TaskSet m_tasks;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/info_codec.cpp
@@ -0,0 +1,45 @@
+#include "rpc/info_codec.h"
+
+#include "rpc/list_codec.h"
+#include "rpc/text_codec.h"
+
+namespace teaselward
+{
+
+void encode(const agent_info &value, wire::AgentInfo::Builder out)
+{
+    out.setId(value.id.value);
+    out.setAddress(wireText(value.address));
+    out.setFailureDomain(wireText(value.failureDomain));
+    out.setSlots(value.slots);
+    out.setConnections(value.connections);
+    encodeTexts(value.kinds, out.initKinds(static_cast<unsigned>(value.kinds.size())));
+    out.setLeaving(value.leaving);
+}
+
+agent_info decode(wire::AgentInfo::Reader in)
+{
+    agent_info value;
+    value.id = agent_id{in.getId()};
+    value.address = plainText(in.getAddress());
+    value.failureDomain = plainText(in.getFailureDomain());
+    value.slots = in.getSlots();
+    value.connections = in.getConnections();
+    value.kinds = decodeTexts(in.getKinds());
+    value.leaving = in.getLeaving();
+    return value;
+}
+
+void encode(const entry_info &value, wire::EntryInfo::Builder out)
+{
+    out.setId(value.id.value);
+    out.setAddress(wireText(value.address));
+    out.setFailureDomain(wireText(value.failureDomain));
+}
+
+entry_info decode(wire::EntryInfo::Reader in)
+{
+    return {entry_id{in.getId()}, plainText(in.getAddress()), plainText(in.getFailureDomain())};
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/link_table.cpp
@@ -0,0 +1,150 @@
+#include "rpc/link_table.h"
+
+#include "rpc/rpc_limits.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Distance of the looks at the send queues during flush().
+constexpr std::chrono::milliseconds FlushStep{5};
+
+kj::Duration kjDuration(std::chrono::milliseconds value)
+{
+    return value.count() * kj::MILLISECONDS;
+}
+
+} // namespace
+
+link_table::link_table(kj::Timer &timer, std::chrono::milliseconds lease, std::chrono::milliseconds heartbeat, traffic_counter &traffic, decision_log &log)
+    : m_timer(timer)
+    , m_lease(lease)
+    , m_heartbeat(heartbeat)
+    , m_traffic(traffic)
+    , m_log(log)
+    , m_tasks(*this)
+{
+}
+
+link_table::~link_table() = default;
+
+rpc_link *link_table::add(kj::Own<kj::AsyncIoStream> stream, link_side side)
+{
+    if (m_links.size() >= MaxLinks || m_unregistered.size() >= MaxUnregisteredLinks) {
+        m_log.write(log_part::rpc, "connection refused, table full");
+        return nullptr;
+    }
+    // A start must not wait for the acknowledgement of the message before it.
+    const int on = 1;
+    stream->setsockopt(IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const mono_time now = mono_clock::now();
+    const std::uint64_t number = ++m_lastNumber;
+    auto link = std::make_unique<rpc_link>(number, std::move(stream), session_monitor(m_lease, m_heartbeat, now), m_traffic, side);
+    m_unregistered.emplace(number, now + m_lease);
+    return m_links.emplace(number, std::move(link)).first->second.get();
+}
+
+void link_table::watch(rpc_link &link)
+{
+    const std::uint64_t number = link.number();
+    m_tasks.add(link.onDisconnect().then([this, number] {
+        close(number, "ended");
+    }));
+}
+
+rpc_link *link_table::find(std::uint64_t number)
+{
+    const auto found = m_links.find(number);
+    return found != m_links.end() ? found->second.get() : nullptr;
+}
+
+void link_table::close(std::uint64_t number, std::string_view why)
+{
+    const auto found = m_links.find(number);
+    if (found == m_links.end()) {
+        return;
+    }
+    std::unique_ptr<rpc_link> link = std::move(found->second);
+    m_links.erase(found);
+    m_unregistered.erase(number);
+    if (m_log.isEnabled()) {
+        m_log.write(log_part::rpc, "connection closed link=" + std::to_string(number) + " why=" + std::string(why));
+    }
+    if (link->user()) {
+        link->user()->handleLost();
+    }
+    m_tasks.add(kj::evalLater([link = std::move(link)]() mutable {
+        link.reset();
+    }));
+}
+
+void link_table::closeAfter(std::uint64_t number, std::chrono::milliseconds delay, std::string_view why)
+{
+    m_tasks.add(m_timer.afterDelay(kjDuration(delay)).then([this, number, why] {
+        close(number, why);
+    }));
+}
+
+// A connection without an accepted first message gets one lease, however much it sends.
+void link_table::check(mono_time now)
+{
+    std::vector<std::uint64_t> expired;
+    for (auto item = m_unregistered.begin(); item != m_unregistered.end();) {
+        if (m_links.at(item->first)->isRegistered()) {
+            item = m_unregistered.erase(item);
+            continue;
+        }
+        if (item->second < now) {
+            expired.push_back(item->first);
+        }
+        ++item;
+    }
+    for (const auto &[number, link] : m_links) {
+        const session_verdict verdict = link->monitor().check(now);
+        if (verdict == session_verdict::expired) {
+            expired.push_back(number);
+        } else if (verdict == session_verdict::silent && link->isRegistered() && link->user()) {
+            link->user()->sendPing();
+        }
+    }
+    for (const std::uint64_t number : expired) {
+        close(number, "lease ended");
+    }
+}
+
+kj::Promise<void> link_table::flush(std::chrono::milliseconds bound)
+{
+    return m_timer.afterDelay(kjDuration(FlushStep)).then([this, bound]() -> kj::Promise<void> {
+        bool isQueued = false;
+        for (const auto &[number, link] : m_links) {
+            isQueued = isQueued || link->queuedBytes() > 0;
+        }
+        if (!isQueued || bound <= FlushStep) {
+            return kj::READY_NOW;
+        }
+        return flush(bound - FlushStep);
+    });
+}
+
+std::size_t link_table::size() const
+{
+    return m_links.size();
+}
+
+void link_table::taskFailed(kj::Exception &&exception)
+{
+    if (m_log.isEnabled()) {
+        m_log.write(log_part::rpc, std::string("connection failed text=") + exception.getDescription().cStr());
+    }
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/list_codec.cpp
@@ -0,0 +1,87 @@
+#include "rpc/list_codec.h"
+
+#include "rpc/task_codec.h"
+#include "rpc/text_codec.h"
+
+namespace teaselward
+{
+
+void encodeTexts(const std::vector<std::string> &values, capnp::List<capnp::Text>::Builder out)
+{
+    unsigned index = 0;
+    for (const std::string &value : values) {
+        out.set(index, wireText(value));
+        ++index;
+    }
+}
+
+std::vector<std::string> decodeTexts(capnp::List<capnp::Text>::Reader in)
+{
+    std::vector<std::string> values;
+    values.reserve(in.size());
+    for (const auto value : in) {
+        values.push_back(plainText(value));
+    }
+    return values;
+}
+
+void encodeData(const std::vector<std::string> &values, capnp::List<capnp::Data>::Builder out)
+{
+    unsigned index = 0;
+    for (const std::string &value : values) {
+        out.set(index, wireData(value));
+        ++index;
+    }
+}
+
+std::vector<std::string> decodeData(capnp::List<capnp::Data>::Reader in)
+{
+    std::vector<std::string> values;
+    values.reserve(in.size());
+    for (const auto value : in) {
+        values.push_back(plainData(value));
+    }
+    return values;
+}
+
+void encodeUsage(const std::vector<team_usage> &values, capnp::List<wire::TeamUsage>::Builder out)
+{
+    unsigned index = 0;
+    for (const team_usage &value : values) {
+        out[index].setTeam(wireText(value.team));
+        out[index].setInProgress(value.inProgress);
+        out[index].setWanted(value.wanted);
+        ++index;
+    }
+}
+
+std::vector<team_usage> decodeUsage(capnp::List<wire::TeamUsage>::Reader in)
+{
+    std::vector<team_usage> values;
+    values.reserve(in.size());
+    for (const auto value : in) {
+        values.push_back({plainText(value.getTeam()), value.getInProgress(), value.getWanted()});
+    }
+    return values;
+}
+
+void encodeHeld(const std::vector<held_task> &values, capnp::List<wire::HeldTask>::Builder out)
+{
+    unsigned index = 0;
+    for (const held_task &value : values) {
+        encode(value, out[index]);
+        ++index;
+    }
+}
+
+std::vector<held_task> decodeHeld(capnp::List<wire::HeldTask>::Reader in)
+{
+    std::vector<held_task> values;
+    values.reserve(in.size());
+    for (const auto value : in) {
+        values.push_back(decode(value));
+    }
+    return values;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/list_codec.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/held_task.h"
+#include "core/team_usage.h"
+#include "rpc/wire.capnp.h"
+
+#include <string>
+#include <vector>
+
+namespace teaselward
+{
+
+/**
+ * Writes texts to a list of a message.
+ * @param values the texts
+ * @param out list of the same size
+ */
+void encodeTexts(const std::vector<std::string> &values, capnp::List<capnp::Text>::Builder out);
+
+/** @return texts of a list of a message */
+std::vector<std::string> decodeTexts(capnp::List<capnp::Text>::Reader in);
+
+/**
+ * Writes byte strings to a list of a message.
+ * @param values the byte strings
+ * @param out list of the same size
+ */
+void encodeData(const std::vector<std::string> &values, capnp::List<capnp::Data>::Builder out);
+
+/** @return byte strings of a list of a message */
+std::vector<std::string> decodeData(capnp::List<capnp::Data>::Reader in);
+
+/**
+ * Writes the use of quotas to a list of a message.
+ * @param values the use of each team
+ * @param out list of the same size
+ */
+void encodeUsage(const std::vector<team_usage> &values, capnp::List<wire::TeamUsage>::Builder out);
+
+/** @return use of quotas from a list of a message */
+std::vector<team_usage> decodeUsage(capnp::List<wire::TeamUsage>::Reader in);
+
+/**
+ * Writes what an agent holds about a ticket to a list of a message.
+ * @param values the tasks
+ * @param out list of the same size
+ */
+void encodeHeld(const std::vector<held_task> &values, capnp::List<wire::HeldTask>::Builder out);
+
+/** @return tasks from a list of a message */
+std::vector<held_task> decodeHeld(capnp::List<wire::HeldTask>::Reader in);
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/peer_session.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "job/action/forward_cancel.h"
+#include "job/action/forward_job.h"
+#include "job/action/forward_query.h"
+#include "rpc/entry_context.h"
+#include "rpc/link_user.h"
+#include "rpc/welcome.h"
+#include "rpc/wire.capnp.h"
+
+#include <kj/async.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Session of an entry with another entry, whichever side connected. */
+class peer_session : public link_user, private kj::TaskSet::ErrorHandler
+{
+public:
+    /**
+     * Creates a session that is not joined yet.
+     * @param context what the sessions share
+     * @param link number of the connection
+     * @param address address that was connected; empty if the other side connected
+     */
+    peer_session(entry_context &context, std::uint64_t link, std::string address);
+
+    /**
+     * Sends the greeting.
+     * @param gate bootstrap capability of the other entry
+     * @param own capability that the other entry calls
+     */
+    void greet(wire::EntryGate::Client gate, wire::EntryPort::Client own);
+
+    /**
+     * Reports the other entry.
+     * @param peer announcement of the other entry
+     * @param port its capability
+     */
+    void join(const entry_info &peer, wire::EntryPort::Client port);
+
+    /** @return the other entry, or nothing before the greeting is answered */
+    const std::optional<entry_info> &peer() const;
+
+    /** @return address by which the directory knows the other entry */
+    const std::string &address() const;
+
+    /** @return number of the connection */
+    std::uint64_t link() const;
+
+    /** Raises forward_answered. @param action request to send */
+    void send(const forward_job &action);
+    void send(const forward_query &action);
+    void send(const forward_cancel &action);
+
+    /** Sends the report unless the one before it is unanswered. @param usage use of the quotas */
+    void exchange(const std::vector<team_usage> &usage);
+
+    /**
+     * Fetches the other entry's copy of the configuration if the process wants it.
+     * @param offset log offset that the copy covers
+     */
+    void offerSnapshot(std::uint64_t offset);
+
+    void sendPing() override;
+    void handleLost() override;
+
+private:
+    void accept(const welcome &answer, wire::EntryPort::Client port);
+    template<typename R>
+    void await(const request_id &request, R &&call);
+    void answer(std::uint64_t number, forward_answered &&event);
+    void taskFailed(kj::Exception &&exception) override;
+
+    entry_context &m_context;
+    std::uint64_t m_link;
+    std::string m_address;
+    bool m_isDialed;
+    std::optional<entry_info> m_peer;
+    wire::EntryPort::Client m_port;
+    bool m_isExchanging = false;
+    bool m_isFetching = false;
+    std::uint64_t m_lastCall = 0;
+    std::map<std::uint64_t, request_id> m_forwards; // Requests that have no answer yet.
+    kj::TaskSet m_calls;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/peer_table.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "core/entry_id.h"
+#include "rpc/entry_context.h"
+
+#include <string>
+#include <vector>
+
+namespace teaselward
+{
+
+class peer_session;
+
+/**
+ * Other entries that are connected. Two entries can have several sessions with each other, since either side may connect;
+ * an entry joins with its first session and is lost with its last one.
+ */
+class peer_table
+{
+public:
+    /** @param context what the sessions share; it is used after the construction only */
+    explicit peer_table(entry_context &context);
+
+    /** Adds a session, which is preferred to older ones. @param session the session */
+    void join(peer_session &session);
+
+    /** Removes a session. @param session the session */
+    void lose(peer_session &session);
+
+    /**
+     * Finds the newest session with an address.
+     * @param address IP:PORT as the other entry announces it
+     * @return the session, or null
+     */
+    peer_session *find(const std::string &address) const;
+
+    /** @return newest session of each entry */
+    std::vector<peer_session *> newest() const;
+
+private:
+    std::vector<peer_session *> sessionsOf(const entry_id &entry) const;
+
+    entry_context &m_context;
+    std::vector<peer_session *> m_sessions; // From the oldest to the newest.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/pending_table.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <kj/async.h>
+
+#include <cstdint>
+#include <utility>
+
+namespace teaselward
+{
+
+/** Calls that were handed to the decision thread and wait for its answers. */
+template<typename T>
+class pending_table
+{
+public:
+    /** Number of a call with the promise of its answer. */
+    struct call {
+        std::uint64_t number;
+        kj::Promise<T> answer;
+    };
+
+    /** @return a new call; it leaves the table when its promise is dropped or resolved */
+    call add()
+    {
+        auto pair = kj::newPromiseAndFulfiller<T>();
+        const std::uint64_t number = ++m_lastNumber;
+        m_calls.emplace(number, std::move(pair.fulfiller));
+        return {number, pair.promise.attach(kj::defer([this, number] {
+                    m_calls.erase(number);
+                }))};
+    }
+
+    /**
+     * Answers a call.
+     * @param number number of the call; an answer for a call whose connection is lost is dropped
+     * @param answer the answer
+     */
+    void resolve(std::uint64_t number, T &&answer)
+    {
+        const auto found = m_calls.find(number);
+        if (found != m_calls.end()) {
+            found->second->fulfill(std::move(answer));
+        }
+    }
+
+    /** @return number of calls that wait */
+    std::size_t size() const
+    {
+        return m_calls.size();
+    }
+
+private:
+    std::uint64_t m_lastNumber = 0;
+    absl::flat_hash_map<std::uint64_t, kj::Own<kj::PromiseFulfiller<T>>> m_calls;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/task_codec.cpp
@@ -0,0 +1,61 @@
+#include "rpc/task_codec.h"
+
+#include "rpc/text_codec.h"
+#include "rpc/ticket_codec.h"
+
+namespace teaselward
+{
+
+void encode(const task_outcome &value, wire::TaskOutcome::Builder out)
+{
+    out.setVerdict(static_cast<std::uint8_t>(value.verdict));
+    out.setWhy(static_cast<std::uint8_t>(value.why));
+    out.setBody(wireData(value.body));
+    out.setRunTimeUs(value.runTime.count());
+}
+
+task_outcome decode(wire::TaskOutcome::Reader in)
+{
+    task_outcome value;
+    value.verdict = plainEnum(in.getVerdict(), task_verdict::unknown);
+    value.why = plainEnum(in.getWhy(), reason::unauthorized);
+    value.body = plainData(in.getBody());
+    value.runTime = std::chrono::microseconds(in.getRunTimeUs());
+    return value;
+}
+
+void encode(const held_task &value, wire::HeldTask::Builder out)
+{
+    encode(value.id, out.initId());
+    out.setState(static_cast<std::uint8_t>(value.state));
+    encode(value.outcome, out.initOutcome());
+}
+
+held_task decode(wire::HeldTask::Reader in)
+{
+    return {decode(in.getId()), plainEnum(in.getState(), held_state::finished), decode(in.getOutcome())};
+}
+
+void encode(const start_order &value, wire::StartOrder::Builder out)
+{
+    encode(value.id, out.initId());
+    out.setKind(wireText(value.kind));
+    out.setTeam(wireText(value.team));
+    out.setPayload(wireData(value.payload));
+    out.setTimeLimitMs(value.timeLimit.count());
+    out.setDemand(value.demand);
+}
+
+start_order decode(wire::StartOrder::Reader in)
+{
+    start_order value;
+    value.id = decode(in.getId());
+    value.kind = plainText(in.getKind());
+    value.team = plainText(in.getTeam());
+    value.payload = plainData(in.getPayload());
+    value.timeLimit = std::chrono::milliseconds(in.getTimeLimitMs());
+    value.demand = in.getDemand();
+    return value;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/task_codec.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/held_task.h"
+#include "core/start_order.h"
+#include "core/task_outcome.h"
+#include "rpc/wire.capnp.h"
+
+namespace teaselward
+{
+
+/**
+ * Writes an outcome to a message.
+ * @param value the value
+ * @param out part of the message
+ */
+void encode(const task_outcome &value, wire::TaskOutcome::Builder out);
+
+/**
+ * Reads an outcome from a message.
+ * @param in part of the message
+ * @return the value
+ */
+task_outcome decode(wire::TaskOutcome::Reader in);
+
+/**
+ * Writes what an agent holds about a task to a message.
+ * @param value the value
+ * @param out part of the message
+ */
+void encode(const held_task &value, wire::HeldTask::Builder out);
+
+/**
+ * Reads what an agent holds about a task from a message.
+ * @param in part of the message
+ * @return the value
+ */
+held_task decode(wire::HeldTask::Reader in);
+
+/**
+ * Writes an order to a message.
+ * @param value the value
+ * @param out part of the message
+ */
+void encode(const start_order &value, wire::StartOrder::Builder out);
+
+/**
+ * Reads an order from a message.
+ * @param in part of the message
+ * @return the value
+ */
+start_order decode(wire::StartOrder::Reader in);
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/text_codec.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <capnp/blob.h>
+#include <cstdint>
+#include <kj/debug.h>
+#include <string>
+
+namespace teaselward
+{
+
+/**
+ * Returns a view of a text in the library's type.
+ * @param value the text; it must outlive the view
+ */
+inline kj::StringPtr wireText(const std::string &value)
+{
+    return {value.c_str(), value.size()};
+}
+
+/**
+ * Returns a view of bytes in the library's type.
+ * @param value the bytes; they must outlive the view
+ */
+inline capnp::Data::Reader wireData(const std::string &value)
+{
+    return {reinterpret_cast<const kj::byte *>(value.data()), value.size()};
+}
+
+/** @return copy of a text of a message */
+inline std::string plainText(capnp::Text::Reader value)
+{
+    return {value.begin(), value.size()};
+}
+
+/** @return copy of the bytes of a message */
+inline std::string plainData(capnp::Data::Reader value)
+{
+    return {reinterpret_cast<const char *>(value.begin()), value.size()};
+}
+
+/**
+ * Converts a number of a message to an enumerator.
+ * @param value the number
+ * @param last greatest enumerator
+ * @throws kj::Exception if the number names no enumerator, so that only the call fails
+ */
+template<typename E>
+E plainEnum(std::uint8_t value, E last)
+{
+    KJ_REQUIRE(value <= static_cast<std::uint8_t>(last), "unknown enumerator", value);
+    return static_cast<E>(value);
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/tests/rpc/capture_log.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "log/decision_log.h"
+
+#include <absl/synchronization/mutex.h>
+
+#include <string>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Keeps every line, so that a test can look for one. */
+class capture_log : public decision_log
+{
+public:
+    bool isEnabled() const override
+    {
+        return true;
+    }
+
+    void write(log_part /*part*/, std::string_view line) override
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_lines.emplace_back(line);
+    }
+
+    /** @return whether a line contains a text */
+    bool contains(const std::string &text) const
+    {
+        absl::MutexLock lock(&m_mutex);
+        for (const std::string &line : m_lines) {
+            if (line.find(text) != std::string::npos) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+private:
+    mutable absl::Mutex m_mutex;
+    std::vector<std::string> m_lines;
+};
+
+} // namespace teaselward
