Follow the configuration on the platform log

Cause: an entry needs the operators' rules, which stand as changes of small files on the platform's append-only log.

The stand-in server with faults is also the program platform_log_stub.

Conclusion: an entry can run with a configuration.

--- /dev/null
+++ b/src/config/config_files.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "config/config_file.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace teaselward
+{
+
+/** Configuration files by name, which is the order in which they are merged. */
+using config_files = std::map<std::string, config_file, std::less<>>;
+
+} // namespace teaselward
--- /dev/null
+++ b/src/config/config_follower.cpp
@@ -0,0 +1,282 @@
+#include "config/config_follower.h"
+
+#include "base/duty_thread.h"
+#include "config/config_error.h"
+#include "config/config_reader.h"
+#include "config/record_codec.h"
+#include "config/rule_publisher.h"
+#include "config/snapshot_schedule.h"
+#include "config/system_wall_clock.h"
+#include "platform/jittered_backoff.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace teaselward
+{
+
+namespace detail
+{
+
+namespace
+{
+
+// Time between two attempts to put rules into a full ring.
+constexpr std::chrono::milliseconds FullRingDelay(20);
+
+// Part of the retention that passes before a snapshot is repeated that was appended but not read back.
+constexpr int RepeatDivisor = 8;
+
+const system_wall_clock MachineClock;
+
+constexpr std::string_view OutcomeTexts[] = {"accepted", "conflict", "invalid", "repeated", "ignored"};
+
+} // namespace
+
+class config_follower_private
+{
+public:
+    config_follower_private(const config_follower_settings &options,
+                            platform_log &log,
+                            bounded_ring<entry_event> &events,
+                            decision_log &lines,
+                            peer_copy *peers,
+                            const wall_clock *clock,
+                            std::uint64_t seed);
+
+    const config_follower_settings settings;
+    platform_log &platform;
+    decision_log &log;
+    config_reader reader;
+    rule_publisher publisher;
+    snapshot_schedule schedule;
+    jittered_backoff backoff;
+    bool isDown = false;
+    bool wasCurrent = false;
+
+    mutable absl::Mutex mutex;
+    absl::CondVar wake;
+    bool isStopped ABSL_GUARDED_BY(mutex) = false;
+    std::shared_ptr<const snapshot_record> shared ABSL_GUARDED_BY(mutex); // For peers.
+
+    std::unique_ptr<duty_thread> thread; // Last, so that it ends before the rest is destroyed.
+
+    void run();
+    void readOnce();
+    void handleSteps(const std::vector<read_step> &steps);
+    void handleOutage(std::error_code error, mono_time begun);
+    void bringIntoForce();
+    void publishSnapshotIfDue();
+    void sleepUntil(mono_time until);
+    bool shouldStop() const;
+    std::chrono::milliseconds limitWait(std::chrono::milliseconds wait) const;
+    void write(const std::string &line);
+};
+
+config_follower_private::config_follower_private(const config_follower_settings &options,
+                                                 platform_log &log,
+                                                 bounded_ring<entry_event> &events,
+                                                 decision_log &lines,
+                                                 peer_copy *peers,
+                                                 const wall_clock *clock,
+                                                 std::uint64_t seed)
+    : settings(options)
+    , platform(log)
+    , log(lines)
+    , reader(log, options.stream, peers)
+    , publisher(events, clock == nullptr ? MachineClock : *clock, lines)
+    , schedule(options.retention, seed)
+    , backoff(options.retryLimit, seed)
+{
+}
+
+// Reads, evaluates local time and publishes snapshots until the follower is stopped. Each wait has an end.
+void config_follower_private::run()
+{
+    while (!shouldStop()) {
+        readOnce();
+        publisher.evaluate();
+        publishSnapshotIfDue();
+    }
+}
+
+void config_follower_private::readOnce()
+{
+    std::vector<read_step> steps;
+    const mono_time begun = mono_clock::now();
+    // While the log does not answer, the next attempt asks for no wait, so that a return is seen at once.
+    const auto wait = isDown ? std::chrono::milliseconds(0) : limitWait(settings.pollWait);
+    const std::error_code error = reader.poll(wait, steps);
+    if (error) {
+        handleOutage(error, begun);
+        return;
+    }
+    if (std::exchange(isDown, false)) {
+        write("platform log answers again");
+        backoff.reset();
+    }
+    handleSteps(steps);
+}
+
+// Logs each decision and brings accepted changes into force. The changes of the start are logged as one line.
+void config_follower_private::handleSteps(const std::vector<read_step> &steps)
+{
+    if (!reader.isCurrent()) {
+        wasCurrent = false;
+        return;
+    }
+    const mono_time now = mono_clock::now();
+    const bool isStart = !std::exchange(wasCurrent, true);
+    bool isAccepted = false;
+    for (const read_step &step : steps) {
+        isAccepted = isAccepted || step.result.outcome == fold_outcome::accepted;
+        if (!isStart) {
+            write("change " + std::string(OutcomeTexts[static_cast<std::size_t>(step.result.outcome)]) + " offset=" + std::to_string(step.offset) + " file="
+                  + step.change.file + " author=" + step.change.author + (step.result.problem ? " why=" + step.result.problem->text() : std::string()));
+        }
+    }
+    if (isStart) {
+        write("configuration read offset=" + std::to_string(reader.fold().offset()) + " files=" + std::to_string(reader.fold().files().size()));
+        if (reader.hasGap()) {
+            write("the log has dropped changes that no snapshot covers; publish the folder again with 'teaselward config sync'");
+        }
+    }
+    if (isStart || isAccepted) {
+        bringIntoForce();
+    }
+    if (!reader.fold().files().empty()) {
+        schedule.setOldestNeeded(reader.oldestNeeded(), !isStart, now);
+    }
+    schedule.setRetained(reader.firstRetained(), reader.nextOffset(), now);
+}
+
+// Keeps what is in force, or takes a peer's copy if there is nothing yet. The time that the failed read took counts as waited.
+void config_follower_private::handleOutage(std::error_code error, mono_time begun)
+{
+    if (!std::exchange(isDown, true)) {
+        write("platform log does not answer: " + error.message());
+    }
+    if (!reader.hasState() && reader.adoptFromPeers()) {
+        write("configuration taken from a peer offset=" + std::to_string(reader.fold().offset()));
+        bringIntoForce();
+    }
+    sleepUntil(begun + backoff.next());
+}
+
+void config_follower_private::bringIntoForce()
+{
+    publisher.setFiles(reader.fold());
+    publisher.evaluate();
+    auto copy = std::make_shared<const snapshot_record>(reader.fold().snapshot());
+    absl::MutexLock lock(&mutex);
+    shared = std::move(copy);
+}
+
+// An empty configuration needs no snapshot, since a reader without records has the same.
+void config_follower_private::publishSnapshotIfDue()
+{
+    if (isDown || !reader.isCurrent() || reader.fold().files().empty() || !schedule.isDue(mono_clock::now())) {
+        return;
+    }
+    std::uint64_t offset = 0;
+    const std::error_code error
+        = configErrorFromPlatform(platform.append(settings.stream, encodeRecord(reader.fold().snapshot()), settings.appendTimeout, offset));
+    if (error) {
+        write("snapshot not published: " + error.message());
+        schedule.postpone(settings.retryLimit, mono_clock::now());
+        return;
+    }
+    write("snapshot published offset=" + std::to_string(offset) + " covers=" + std::to_string(reader.fold().offset()));
+    schedule.postpone(settings.retention / RepeatDivisor, mono_clock::now());
+}
+
+// Sleeps in parts that end at the boundaries of local time, so that peaks begin and end during an outage too.
+void config_follower_private::sleepUntil(mono_time until)
+{
+    while (true) {
+        publisher.evaluate();
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(until - mono_clock::now());
+        if (left <= left.zero()) {
+            return;
+        }
+        absl::MutexLock lock(&mutex);
+        if (isStopped) {
+            return;
+        }
+        wake.WaitWithTimeout(&mutex, absl::FromChrono(limitWait(left)));
+    }
+}
+
+bool config_follower_private::shouldStop() const
+{
+    absl::MutexLock lock(&mutex);
+    return isStopped;
+}
+
+// Shortens a wait to the next boundary, to the next attempt to send, and to the poll interval, by which a set clock is noticed.
+std::chrono::milliseconds config_follower_private::limitWait(std::chrono::milliseconds wait) const
+{
+    wait = std::min(wait, settings.pollWait);
+    if (publisher.hasUnsent()) {
+        wait = std::min(wait, FullRingDelay);
+    }
+    return std::min(wait, publisher.timeToBoundary().value_or(wait));
+}
+
+void config_follower_private::write(const std::string &line)
+{
+    if (log.isEnabled()) {
+        log.write(log_part::config, line);
+    }
+}
+
+} // namespace detail
+
+config_follower::config_follower(const config_follower_settings &settings,
+                                 platform_log &platform,
+                                 bounded_ring<entry_event> &events,
+                                 decision_log &log,
+                                 peer_copy *peers,
+                                 const wall_clock *clock)
+    : d(std::make_unique<detail::config_follower_private>(settings, platform, events, log, peers, clock, std::random_device{}()))
+{
+    d->thread = std::make_unique<duty_thread>("config", [this] {
+        d->run();
+    });
+}
+
+config_follower::~config_follower()
+{
+    stop();
+}
+
+std::optional<config_copy> config_follower::snapshot() const
+{
+    std::shared_ptr<const snapshot_record> copy;
+    {
+        absl::MutexLock lock(&d->mutex);
+        copy = d->shared;
+    }
+    if (!copy) {
+        return std::nullopt;
+    }
+    return config_copy{.offset = copy->covers, .text = encodeRecord(*copy)};
+}
+
+void config_follower::stop()
+{
+    {
+        absl::MutexLock lock(&d->mutex);
+        d->isStopped = true;
+        d->wake.SignalAll();
+    }
+    d->thread.reset();
+}
+
+} // namespace teaselward
--- a/src/config/config_follower.h
+++ b/src/config/config_follower.h
@@ -1,12 +1,16 @@
 #pragma once
 
 #include "base/bounded_ring.h"
+#include "config/config_copy.h"
 #include "config/config_follower_settings.h"
+#include "config/peer_copy.h"
+#include "config/wall_clock.h"
 #include "job/entry_event.h"
 #include "log/decision_log.h"
 #include "platform/platform_log.h"
 
 #include <memory>
+#include <optional>
 
 namespace teaselward
 {
@@ -26,13 +30,26 @@
      * @param platform client of the platform log, used by this thread only; it must outlive the follower
      * @param events ring of the decision thread, which gets rules_applied
      * @param log receiver of the log lines; it must outlive the follower
+     * @param peers asked by this thread while the log cannot give the configuration; may be null, and must outlive the follower
+     * @param clock wall clock for rules in local time; null for that of the machine; it must outlive the follower
      */
-    config_follower(const config_follower_settings &settings, platform_log &platform, bounded_ring<entry_event> &events, decision_log &log);
+    config_follower(const config_follower_settings &settings,
+                    platform_log &platform,
+                    bounded_ring<entry_event> &events,
+                    decision_log &log,
+                    peer_copy *peers = nullptr,
+                    const wall_clock *clock = nullptr);
     ~config_follower();
 
     config_follower(const config_follower &) = delete;
     config_follower &operator=(const config_follower &) = delete;
 
+    /**
+     * Hands out the configuration for a peer that starts while the log is down. Any thread may call it.
+     * @return the copy, or nothing if this process has none yet
+     */
+    std::optional<config_copy> snapshot() const;
+
     /** Ends the thread after the read in progress. */
     void stop();
 
--- /dev/null
+++ b/src/config/config_reader.cpp
@@ -0,0 +1,234 @@
+#include "config/config_reader.h"
+
+#include "config/config_error.h"
+#include "config/record_codec.h"
+#include "platform/platform_error.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <variant>
+
+namespace teaselward
+{
+
+namespace detail
+{
+
+class config_reader_private
+{
+public:
+    config_reader_private(platform_log &log, std::string name, peer_copy *source)
+        : platform(log)
+        , stream(std::move(name))
+        , peers(source)
+    {
+    }
+
+    platform_log &platform;
+    const std::string stream;
+    peer_copy *const peers;
+
+    config_fold fold;
+    bool isCurrent = false; // The end of the stream has been reached since the last gap.
+    bool hasState = false;
+    bool hasGap = false;
+    std::uint64_t readNext = 1; // Offset of the next read.
+    std::uint64_t first = 0;
+    std::uint64_t next = 0;
+    std::uint64_t firstChange = 0; // Oldest change that was read.
+    bool startsMidway = false; // Older records that were not read may be needed too.
+    std::uint64_t snapshotOffset = 0; // Record of the snapshot that covers most.
+    std::uint64_t snapshotCovers = 0;
+
+    // Collected until the end of the stream is reached.
+    std::uint64_t collectFrom = 1;
+    std::optional<snapshot_record> best;
+    std::vector<std::pair<std::uint64_t, change_record>> collected;
+
+    void restartAt(std::uint64_t offset);
+    void take(const log_record &record, std::vector<read_step> &steps);
+    void takeChange(std::uint64_t offset, change_record change, std::vector<read_step> &steps);
+    void takeSnapshot(std::uint64_t offset, snapshot_record snapshot);
+    void finishCollecting(std::vector<read_step> &steps);
+    bool adoptFromPeers();
+};
+
+// Begins again at the lowest offset that the log keeps. The fold keeps its state, which a snapshot may only replace by a later one.
+void config_reader_private::restartAt(std::uint64_t offset)
+{
+    isCurrent = false;
+    readNext = offset;
+    collectFrom = offset;
+    firstChange = 0;
+    startsMidway = false;
+    best.reset();
+    collected.clear();
+}
+
+void config_reader_private::take(const log_record &record, std::vector<read_step> &steps)
+{
+    readNext = record.offset + 1;
+    auto decoded = decodeRecord(record.body);
+    if (!decoded) {
+        return;
+    }
+    if (auto *change = std::get_if<change_record>(&*decoded)) {
+        takeChange(record.offset, std::move(*change), steps);
+    } else {
+        takeSnapshot(record.offset, std::move(std::get<snapshot_record>(*decoded)));
+    }
+}
+
+void config_reader_private::takeChange(std::uint64_t offset, change_record change, std::vector<read_step> &steps)
+{
+    if (firstChange == 0) {
+        firstChange = offset;
+    }
+    if (!isCurrent) {
+        if (!best || offset > best->covers) {
+            collected.emplace_back(offset, std::move(change));
+        }
+        return;
+    }
+    fold_result result = fold.apply(offset, change);
+    steps.push_back({.offset = offset, .change = std::move(change), .result = std::move(result)});
+}
+
+// A reader that is current is ahead of every snapshot, and only notes where a new reader will find it.
+void config_reader_private::takeSnapshot(std::uint64_t offset, snapshot_record snapshot)
+{
+    if (snapshot.covers >= offset || snapshot.covers < snapshotCovers) {
+        return;
+    }
+    snapshotOffset = offset;
+    snapshotCovers = snapshot.covers;
+    if (!isCurrent) {
+        std::erase_if(collected, [&snapshot](const auto &entry) {
+            return entry.first <= snapshot.covers;
+        });
+        best = std::move(snapshot);
+    }
+}
+
+bool config_reader_private::adoptFromPeers()
+{
+    const auto copy = peers == nullptr ? std::nullopt : peers->newest();
+    const auto record = copy ? decodeRecord(copy->text) : std::nullopt;
+    const auto *snapshot = record ? std::get_if<snapshot_record>(&*record) : nullptr;
+    if (snapshot == nullptr || !fold.adopt(*snapshot)) {
+        return false;
+    }
+    hasState = true;
+    return true;
+}
+
+// Folds what was collected. Without a gap every record above the folded offset is either kept or covered.
+void config_reader_private::finishCollecting(std::vector<read_step> &steps)
+{
+    const auto reaches = [this] {
+        return fold.offset() + 1 >= collectFrom;
+    };
+    if (best) {
+        fold.adopt(*best);
+    }
+    if (!reaches()) {
+        adoptFromPeers();
+    }
+    hasGap = !reaches();
+    isCurrent = true;
+    hasState = true;
+    best.reset();
+    for (auto &[offset, change] : std::exchange(collected, {})) {
+        fold_result result = fold.apply(offset, change);
+        steps.push_back({.offset = offset, .change = std::move(change), .result = std::move(result)});
+    }
+}
+
+} // namespace detail
+
+config_reader::config_reader(platform_log &platform, std::string stream, peer_copy *peers)
+    : d(std::make_unique<detail::config_reader_private>(platform, std::move(stream), peers))
+{
+}
+
+config_reader::~config_reader() = default;
+
+std::error_code config_reader::poll(std::chrono::milliseconds wait, std::vector<read_step> &steps)
+{
+    log_page page;
+    const auto noWait = std::chrono::milliseconds(0);
+    const std::error_code error = d->platform.read(d->stream, d->readNext, d->isCurrent ? wait : noWait, page);
+    if (error == platform_error::belowRetention && page.first > d->readNext) {
+        d->first = page.first;
+        d->next = page.next;
+        d->restartAt(page.first);
+        return {};
+    }
+    if (error) {
+        return configErrorFromPlatform(error);
+    }
+    d->first = page.first;
+    d->next = page.next;
+    for (const log_record &record : page.records) {
+        d->take(record, steps);
+    }
+    if (!d->isCurrent && (page.records.empty() || d->readNext >= page.next)) {
+        d->finishCollecting(steps);
+    }
+    if (d->isCurrent) {
+        d->fold.skipTo(d->readNext - 1);
+    }
+    return {};
+}
+
+bool config_reader::adoptFromPeers()
+{
+    if (!d->adoptFromPeers()) {
+        return false;
+    }
+    // The stream is read from there on; if the log has dropped records by then, the reader starts again.
+    d->restartAt(d->fold.offset() + 1);
+    d->startsMidway = true;
+    return true;
+}
+
+bool config_reader::hasState() const
+{
+    return d->hasState;
+}
+
+bool config_reader::isCurrent() const
+{
+    return d->isCurrent;
+}
+
+const config_fold &config_reader::fold() const
+{
+    return d->fold;
+}
+
+bool config_reader::hasGap() const
+{
+    return d->hasGap;
+}
+
+std::uint64_t config_reader::oldestNeeded() const
+{
+    if (d->snapshotOffset != 0) {
+        return d->snapshotOffset;
+    }
+    return d->startsMidway ? 0 : d->firstChange;
+}
+
+std::uint64_t config_reader::firstRetained() const
+{
+    return d->first;
+}
+
+std::uint64_t config_reader::nextOffset() const
+{
+    return d->next;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/config/section/service_section.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace teaselward
+{
+
+/** Keys of a section [service NAME] after merging: what its kinds take where they set nothing of their own. */
+struct service_section {
+    std::optional<std::string> description;
+    std::optional<double> weight;
+    std::optional<bool> idempotent;
+    std::optional<std::chrono::milliseconds> timeLimit;
+    std::optional<std::uint32_t> queueLimit;
+    std::optional<std::uint32_t> taskLimit;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/config/snapshot_schedule.cpp
@@ -0,0 +1,67 @@
+#include "config/snapshot_schedule.h"
+
+#include <algorithm>
+
+namespace teaselward
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr int FreshDivisor = 2; // Publishes after half of the retention.
+constexpr int UnknownDivisor = 4; // Half less, since a record that was read at start may be old.
+constexpr int SpreadDivisor = 8;
+constexpr int NearSpreadDivisor = 64;
+constexpr std::chrono::milliseconds NearSpreadLimit = 5s;
+constexpr std::uint64_t NearDivisor = 4; // The record lies in the oldest quarter of what the log keeps.
+
+} // namespace
+
+snapshot_schedule::snapshot_schedule(std::chrono::milliseconds retention, std::uint64_t seed)
+    : m_retention(retention)
+    , m_random(seed)
+{
+}
+
+std::chrono::milliseconds snapshot_schedule::spread(std::chrono::milliseconds limit)
+{
+    return std::chrono::milliseconds(std::uniform_int_distribution<std::chrono::milliseconds::rep>(0, limit.count())(m_random));
+}
+
+void snapshot_schedule::setOldestNeeded(std::uint64_t offset, bool isFresh, mono_time now)
+{
+    if (m_isSet && offset == m_oldest) {
+        return;
+    }
+    m_isSet = true;
+    m_isNear = false;
+    m_oldest = offset;
+    m_due = now + m_retention / (isFresh ? FreshDivisor : UnknownDivisor) + spread(m_retention / SpreadDivisor);
+}
+
+// The first offset that is seen may be where the stream begins; only a move of it shows that the log drops records.
+void snapshot_schedule::setRetained(std::uint64_t first, std::uint64_t next, mono_time now)
+{
+    const bool hasMoved = m_firstSeen != 0 && first > m_firstSeen;
+    m_firstSeen = first;
+    const bool isNear = m_oldest < first || m_oldest - first < (next - first) / NearDivisor;
+    if (m_isSet && hasMoved && isNear && !m_isNear) {
+        m_isNear = true;
+        m_due = std::min(m_due, now + spread(std::min(m_retention / NearSpreadDivisor, NearSpreadLimit)));
+    }
+}
+
+void snapshot_schedule::postpone(std::chrono::milliseconds delay, mono_time now)
+{
+    m_due = now + delay;
+    m_isNear = false;
+}
+
+bool snapshot_schedule::isDue(mono_time now) const
+{
+    return m_isSet && now >= m_due;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/platform/http_log.cpp
@@ -0,0 +1,173 @@
+#include "platform/http_log.h"
+
+#include "platform/log_answer_codec.h"
+#include "platform/platform_error.h"
+
+#include <curl/curl.h>
+
+#include <new>
+#include <string>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace detail
+{
+
+class http_log_private
+{
+public:
+    http_log_settings settings;
+    CURL *handle = nullptr;
+    std::string answer;
+
+    std::error_code perform(const std::string &path, std::chrono::milliseconds timeout, long &status);
+    std::error_code translate(CURLcode result) const;
+
+    static std::size_t receive(const char *data, std::size_t size, std::size_t count, void *self);
+};
+
+// Collects the body of the answer. Taking less than was offered makes libcurl end the transfer with a write error.
+std::size_t http_log_private::receive(const char *data, std::size_t size, std::size_t count, void *self)
+{
+    auto *client = static_cast<http_log_private *>(self);
+    if (client->answer.size() + size * count > client->settings.answerLimit) {
+        return 0;
+    }
+    client->answer.append(data, size * count);
+    return size * count;
+}
+
+// Errors before the request was sent mean that nothing was appended; later ones leave it open.
+std::error_code http_log_private::translate(CURLcode result) const
+{
+    switch (result) {
+    case CURLE_OK:
+        return {};
+    case CURLE_URL_MALFORMAT:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+        return platform_error::rejected;
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_COULDNT_CONNECT:
+        return platform_error::unavailable;
+    case CURLE_WRITE_ERROR:
+        return platform_error::tooLarge;
+    default:
+        break;
+    }
+    curl_off_t connected = 0;
+    curl_easy_getinfo(handle, CURLINFO_PRETRANSFER_TIME_T, &connected);
+    return connected == 0 ? platform_error::unavailable : platform_error::answerLost;
+}
+
+// Sends the request that the caller has prepared, with the settings that all requests share.
+std::error_code http_log_private::perform(const std::string &path, std::chrono::milliseconds timeout, long &status)
+{
+    answer.clear();
+    const std::string url = settings.url + path;
+    curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(settings.connectTimeout.count()));
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &http_log_private::receive);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
+    const CURLcode result = curl_easy_perform(handle);
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    return translate(result);
+}
+
+namespace
+{
+
+constexpr long StatusOk = 200;
+constexpr long StatusGone = 410;
+constexpr long StatusTooLarge = 413;
+constexpr long StatusUnavailable = 503;
+
+std::string recordsPath(std::string_view stream)
+{
+    return "/streams/" + std::string(stream) + "/records";
+}
+
+// Statuses that both requests share. Other statuses of the server's side leave open whether it has acted.
+std::error_code statusError(long status)
+{
+    switch (status) {
+    case StatusOk:
+        return {};
+    case StatusGone:
+        return platform_error::belowRetention;
+    case StatusTooLarge:
+        return platform_error::tooLarge;
+    case StatusUnavailable:
+        return platform_error::unavailable;
+    default:
+        return status >= 400 && status < 500 ? platform_error::rejected : platform_error::badAnswer;
+    }
+}
+
+} // namespace
+
+} // namespace detail
+
+http_log::http_log(http_log_settings settings)
+    : d(std::make_unique<detail::http_log_private>())
+{
+    d->settings = std::move(settings);
+    d->handle = curl_easy_init();
+    if (d->handle == nullptr) {
+        throw std::bad_alloc();
+    }
+}
+
+http_log::~http_log()
+{
+    curl_easy_cleanup(d->handle);
+}
+
+std::error_code http_log::append(std::string_view stream, std::string_view body, std::chrono::milliseconds timeout, std::uint64_t &offset)
+{
+    // libcurl sends no 'Expect' header then, which would cost a round trip for large bodies.
+    curl_slist *headers = curl_slist_append(nullptr, "Expect:");
+    headers = curl_slist_append(headers, "Content-Type: application/octet-stream");
+    curl_easy_reset(d->handle);
+    // libcurl repeats a request by itself if a connection that it has used before turns out to be closed. Whether an append
+    // is repeated is the caller's decision, so each has a connection of its own.
+    curl_easy_setopt(d->handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(d->handle, CURLOPT_FORBID_REUSE, 1L);
+    curl_easy_setopt(d->handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(d->handle, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(d->handle, CURLOPT_POSTFIELDS, body.data());
+    curl_easy_setopt(d->handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
+    long status = 0;
+    std::error_code error = d->perform(detail::recordsPath(stream), timeout, status);
+    curl_slist_free_all(headers);
+    if (!error) {
+        error = detail::statusError(status);
+    }
+    if (!error && !decodeAppendAnswer(d->answer, offset)) {
+        error = platform_error::badAnswer;
+    }
+    return error;
+}
+
+std::error_code http_log::read(std::string_view stream, std::uint64_t from, std::chrono::milliseconds wait, log_page &page)
+{
+    page = {};
+    curl_easy_reset(d->handle);
+    const std::string path = detail::recordsPath(stream) + "?from=" + std::to_string(from) + "&wait_ms=" + std::to_string(wait.count());
+    long status = 0;
+    std::error_code error = d->perform(path, wait + d->settings.readTimeout, status);
+    if (!error) {
+        error = detail::statusError(status);
+    }
+    const bool hasPage = !error || error == platform_error::belowRetention;
+    if (hasPage && !decodePage(d->answer, page)) {
+        error = platform_error::badAnswer;
+    }
+    return error;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/platform/http_log.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "platform/http_log_settings.h"
+#include "platform/platform_log.h"
+
+#include <memory>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class http_log_private;
+}
+
+/** Client of the platform log over HTTP. It keeps one connection open; one thread at a time may call it. */
+class http_log : public platform_log
+{
+public:
+    /**
+     * Creates the client; it connects on the first call.
+     * @param settings address, time-outs and limits
+     * @throws std::bad_alloc if libcurl has no memory left
+     */
+    explicit http_log(http_log_settings settings);
+    ~http_log() override;
+
+    http_log(const http_log &) = delete;
+    http_log &operator=(const http_log &) = delete;
+
+    std::error_code append(std::string_view stream, std::string_view body, std::chrono::milliseconds timeout, std::uint64_t &offset) override;
+    std::error_code read(std::string_view stream, std::uint64_t from, std::chrono::milliseconds wait, log_page &page) override;
+
+private:
+    std::unique_ptr<detail::http_log_private> d;
+};
+
+} // namespace teaselward
--- a/src/platform/platform_log.h
+++ b/src/platform/platform_log.h
@@ -1,12 +1,11 @@
 #pragma once
 
-#include "platform/log_record.h"
+#include "platform/log_page.h"
 
 #include <chrono>
 #include <cstdint>
 #include <string_view>
 #include <system_error>
-#include <vector>
 
 namespace teaselward
 {
@@ -28,14 +27,14 @@
     virtual std::error_code append(std::string_view stream, std::string_view body, std::chrono::milliseconds timeout, std::uint64_t &offset) = 0;
 
     /**
-     * Reads records in the order of their offsets.
+     * Reads records in the order of their offsets. One page is bounded; the caller reads on until it has reached page.next.
      * @param stream name of the stream
-     * @param from lowest offset wanted
+     * @param from lowest offset wanted; the first offset of a stream is 1
      * @param wait longest time to wait for a first record
-     * @param records set to the records; empty if there is none yet
-     * @return no error, or an error of the platform layer
+     * @param page set to the records and the retained range
+     * @return no error, or an error of the platform layer; platform_error::belowRetention if records from that offset on were dropped
      */
-    virtual std::error_code read(std::string_view stream, std::uint64_t from, std::chrono::milliseconds wait, std::vector<log_record> &records) = 0;
+    virtual std::error_code read(std::string_view stream, std::uint64_t from, std::chrono::milliseconds wait, log_page &page) = 0;
 };
 
 } // namespace teaselward
--- /dev/null
+++ b/tests/config/config_follower_test.cpp
@@ -0,0 +1,219 @@
+#include "config/config_follower.h"
+#include "config/record_codec.h"
+#include "log/null_log.h"
+#include "platform/http_log.h"
+#include "platform/memory_log.h"
+#include "support/config_stream.h"
+#include "support/faulty_log.h"
+#include "support/log_server.h"
+#include "support/rule_inbox.h"
+#include "support/virtual_wall_clock.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// The bound of the requirements for a change to be in force.
+constexpr std::chrono::milliseconds InForce = 2s;
+
+std::string kindWithWeight(int weight)
+{
+    return "[kind check]\nweight = " + std::to_string(weight) + "\n";
+}
+
+wall_time utc(std::chrono::sys_days day, std::chrono::minutes time)
+{
+    return day + time;
+}
+
+// Hands out the copy of another follower.
+class follower_copy : public peer_copy
+{
+public:
+    explicit follower_copy(const config_follower &peer)
+        : m_peer(peer)
+    {
+    }
+
+    std::optional<config_copy> newest() override
+    {
+        return m_peer.snapshot();
+    }
+
+private:
+    const config_follower &m_peer;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(config_follower_test)
+
+// Guards against a change that never reaches the decision thread, over the whole path from HTTP to the ring.
+BOOST_AUTO_TEST_CASE(bringsChangesIntoForce)
+{
+    log_server server;
+    http_log client({.url = server.url()});
+    http_log operatorLog({.url = server.url()});
+    rule_inbox inbox;
+    null_log lines;
+    config_follower follower({}, client, inbox.ring(), lines);
+    const auto first = appendChange(operatorLog, "a.ini", kindWithWeight(3) + "[team north]\nquota = 7\n", 0);
+    BOOST_TEST(inbox.awaitWeight("check", 3, InForce));
+    const auto second = appendChange(operatorLog, "a.ini", kindWithWeight(4), first);
+    const auto rules = inbox.await(
+        [second](const rule_set &set) {
+            return set.offset == second;
+        },
+        InForce);
+    BOOST_REQUIRE(rules != nullptr);
+    BOOST_TEST(rules->kinds.at("check").weight == 4);
+    BOOST_TEST(rules->teams.empty());
+}
+
+// Guards against a change that waits for a long backoff after an outage, and against rules that an outage takes away.
+BOOST_AUTO_TEST_CASE(followsAgainSoonAfterAnOutage)
+{
+    log_server server;
+    http_log client({.url = server.url()});
+    rule_inbox inbox;
+    null_log lines;
+    const auto first = appendChange(server.log(), "a.ini", kindWithWeight(3), 0);
+    config_follower follower({}, client, inbox.ring(), lines);
+    BOOST_REQUIRE(inbox.awaitWeight("check", 3, InForce));
+    server.setFaults({.isDown = true});
+    std::this_thread::sleep_for(3s);
+    BOOST_TEST(!inbox.ring().tryPop().has_value());
+    appendChange(server.log(), "a.ini", kindWithWeight(4), first);
+    server.setFaults({});
+    BOOST_TEST(inbox.awaitWeight("check", 4, InForce));
+}
+
+// Guards against the same where requests hang instead of being refused.
+BOOST_AUTO_TEST_CASE(followsAgainSoonAfterTheLogHung)
+{
+    log_server server;
+    http_log client({.url = server.url()});
+    rule_inbox inbox;
+    null_log lines;
+    const auto first = appendChange(server.log(), "a.ini", kindWithWeight(3), 0);
+    config_follower follower({}, client, inbox.ring(), lines);
+    BOOST_REQUIRE(inbox.awaitWeight("check", 3, InForce));
+    server.setFaults({.delay = 2500ms});
+    std::this_thread::sleep_for(3s);
+    appendChange(server.log(), "a.ini", kindWithWeight(4), first);
+    server.setFaults({});
+    BOOST_TEST(inbox.awaitWeight("check", 4, InForce));
+}
+
+// Guards against an entry without rules when it starts during an outage, and against one that goes back when the log returns.
+BOOST_AUTO_TEST_CASE(startsFromAPeerDuringAnOutage)
+{
+    memory_log log;
+    faulty_log broken(log);
+    null_log lines;
+    rule_inbox peerInbox;
+    const auto first = appendChange(log, "a.ini", kindWithWeight(3), 0);
+    config_follower peer({}, log, peerInbox.ring(), lines);
+    BOOST_REQUIRE(peerInbox.awaitWeight("check", 3, InForce));
+    broken.setFaults({.isDown = true});
+    follower_copy copies(peer);
+    rule_inbox inbox;
+    config_follower follower({}, broken, inbox.ring(), lines, &copies);
+    BOOST_TEST(inbox.awaitWeight("check", 3, InForce));
+    BOOST_TEST(follower.snapshot().value().offset == first);
+    appendChange(log, "a.ini", kindWithWeight(4), first);
+    broken.setFaults({});
+    BOOST_TEST(inbox.awaitWeight("check", 4, InForce));
+}
+
+// Guards against a process that forgets its rules, or reverts, when the log drops all that it has read.
+BOOST_AUTO_TEST_CASE(keepsItsRulesWhenRetentionOvertakesIt)
+{
+    memory_log log;
+    faulty_log broken(log);
+    null_log lines;
+    rule_inbox inbox;
+    const auto first = appendChange(log, "a.ini", kindWithWeight(3), 0);
+    config_follower follower({}, broken, inbox.ring(), lines);
+    BOOST_REQUIRE(inbox.awaitWeight("check", 3, InForce));
+    broken.setFaults({.isDown = true});
+    const auto second = appendChange(log, "b.ini", "[kind other]\nweight = 2\n", 0);
+    appendChange(log, "a.ini", kindWithWeight(5), first);
+    log.dropBelow(TestStream, second + 1);
+    broken.setFaults({});
+    BOOST_TEST(inbox.awaitWeight("check", 5, InForce));
+}
+
+// Guards against a configuration that vanishes at the end of the retention although nobody has changed it.
+BOOST_AUTO_TEST_CASE(publishesASnapshotBeforeRetentionEnds)
+{
+    constexpr std::chrono::milliseconds retention = 800ms;
+    memory_log log({.retention = retention});
+    null_log lines;
+    rule_inbox inbox;
+    const auto first = appendChange(log, "a.ini", kindWithWeight(3), 0);
+    config_follower_settings settings;
+    settings.retention = retention;
+    config_follower follower(settings, log, inbox.ring(), lines);
+    config_follower twin(settings, log, inbox.ring(), lines);
+    std::this_thread::sleep_for(4 * retention);
+    rule_inbox late;
+    config_follower starter(settings, log, late.ring(), lines);
+    BOOST_TEST(late.awaitWeight("check", 3, InForce));
+    appendChange(log, "a.ini", kindWithWeight(4), first);
+    BOOST_TEST(late.awaitWeight("check", 4, InForce));
+}
+
+// Guards against peaks that begin late, and against a clock change that is announced after it happened and has no effect.
+BOOST_AUTO_TEST_CASE(followsLocalTime)
+{
+    using namespace std::chrono;
+    memory_log log;
+    null_log lines;
+    rule_inbox inbox;
+    virtual_wall_clock clock;
+    const sys_days day = 2027y / March / 28;
+    clock.set(utc(day, 6h + 30min));
+    config_follower follower({}, log, inbox.ring(), lines, nullptr, &clock);
+    appendChange(log, "10-kinds.ini", kindWithWeight(1), 0);
+    appendChange(log, "20-peak.ini", "[peak morning]\nzone = capital\nfrom = 08:00\nto = 09:00\nkinds = check\nweight = 9\n", 0);
+    appendChange(log, "30-zone.ini", "[zone capital]\noffset = +01:00\n", 0);
+    BOOST_REQUIRE(inbox.awaitWeight("check", 1, InForce));
+    clock.set(utc(day, 7h));
+    BOOST_TEST(inbox.awaitWeight("check", 9, InForce));
+    // The clock went forward at 01:00 UTC, so that it is 09:00 there already and the peak is over.
+    appendChange(log, "40-change.ini", "[zone capital]\n2027-03-28T01:00Z = +02:00\n", 0);
+    BOOST_TEST(inbox.awaitWeight("check", 1, InForce));
+    clock.set(utc(day + days(1), 6h));
+    BOOST_TEST(inbox.awaitWeight("check", 9, InForce));
+}
+
+// Guards against rules that are lost while the decision thread is busy.
+BOOST_AUTO_TEST_CASE(sendsTheNewestRulesOnceTheRingHasRoom)
+{
+    memory_log log;
+    null_log lines;
+    bounded_ring<entry_event> ring(1);
+    config_follower follower({}, log, ring, lines);
+    auto version = appendChange(log, "a.ini", kindWithWeight(1), 0);
+    for (int weight = 2; weight <= 5; ++weight) {
+        version = appendChange(log, "a.ini", kindWithWeight(weight), version);
+    }
+    const mono_time until = mono_clock::now() + InForce;
+    double weight = 0;
+    while (weight != 5) {
+        std::this_thread::sleep_for(100ms);
+        const auto event = ring.popUntil(until);
+        BOOST_REQUIRE(event.has_value());
+        const auto &kinds = std::get<rules_applied>(*event).rules->kinds;
+        weight = kinds.contains("check") ? kinds.at("check").weight : 0;
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/stub/platform_log_stub.cpp
@@ -0,0 +1,37 @@
+#include "support/log_server.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdint>
+#include <exception>
+#include <iostream>
+
+DEFINE_string(listen, "127.0.0.1:0", "address as IP:PORT; port 0 takes a free one");
+DEFINE_uint64(retention, 0, "seconds for which records are kept; 0 keeps them until the end");
+
+// Stand-in for the platform log as a process of its own. It ends on SIGTERM or SIGINT.
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    // Blocked before the first thread starts, so that all threads inherit it and only sigwait() below gets the signal.
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    try {
+        teaselward::memory_log_settings settings;
+        if (FLAGS_retention != 0) {
+            settings.retention = std::chrono::seconds(FLAGS_retention);
+        }
+        const teaselward::log_server server(FLAGS_listen, settings);
+        std::cout << "listening " << server.address() << std::endl;
+        int signal = 0;
+        sigwait(&signals, &signal);
+    } catch (const std::exception &error) {
+        std::cerr << "platform_log_stub: " << error.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/tests/support/faulty_log.cpp
@@ -0,0 +1,72 @@
+#include "support/faulty_log.h"
+
+#include "platform/platform_error.h"
+
+#include <thread>
+
+namespace teaselward
+{
+
+faulty_log::faulty_log(platform_log &log)
+    : m_log(log)
+{
+}
+
+void faulty_log::setFaults(const log_faults &faults)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_faults = faults;
+}
+
+bool faulty_log::isDown() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_faults.isDown;
+}
+
+// Uses up one of the counted faults.
+bool faulty_log::take(int log_faults::*count)
+{
+    absl::MutexLock lock(&m_mutex);
+    if (m_faults.*count == 0) {
+        return false;
+    }
+    --(m_faults.*count);
+    return true;
+}
+
+std::chrono::milliseconds faulty_log::delay() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_faults.delay;
+}
+
+std::error_code faulty_log::append(std::string_view stream, std::string_view body, std::chrono::milliseconds timeout, std::uint64_t &offset)
+{
+    std::this_thread::sleep_for(delay());
+    if (isDown()) {
+        return platform_error::unavailable;
+    }
+    if (take(&log_faults::lostAppends)) {
+        return platform_error::answerLost;
+    }
+    const std::error_code error = m_log.append(stream, body, timeout, offset);
+    std::uint64_t second = 0;
+    if (!error && take(&log_faults::duplicates)) {
+        m_log.append(stream, body, timeout, second);
+    }
+    return !error && take(&log_faults::lostAnswers) ? std::error_code(platform_error::answerLost) : error;
+}
+
+// A log that goes down during the wait does not answer the read any more.
+std::error_code faulty_log::read(std::string_view stream, std::uint64_t from, std::chrono::milliseconds wait, log_page &page)
+{
+    std::this_thread::sleep_for(delay());
+    if (isDown()) {
+        return platform_error::unavailable;
+    }
+    const std::error_code error = m_log.read(stream, from, wait, page);
+    return isDown() ? std::error_code(platform_error::unavailable) : error;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/tests/support/log_server.cpp
@@ -0,0 +1,206 @@
+#include "support/log_server.h"
+
+#include "platform/log_answer_codec.h"
+#include "platform/platform_error.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+
+#include <algorithm>
+#include <charconv>
+#include <stdexcept>
+#include <string_view>
+
+namespace teaselward
+{
+
+namespace detail
+{
+
+namespace
+{
+
+constexpr std::string_view Prefix = "/streams/";
+constexpr std::string_view Suffix = "/records";
+constexpr std::uint64_t WaitLimit = 10'000; // Milliseconds of one read.
+
+// Answers with a JSON text.
+MHD_Result reply(MHD_Connection *connection, unsigned status, const std::string &text)
+{
+    MHD_Response *response = MHD_create_response_from_buffer(text.size(), const_cast<char *>(text.data()), MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, "application/json");
+    const MHD_Result result = MHD_queue_response(connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+// Reads a number from the query; a missing one counts as zero.
+std::uint64_t argument(MHD_Connection *connection, const char *name)
+{
+    const char *text = MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, name);
+    const std::string_view digits = text == nullptr ? "" : text;
+    std::uint64_t value = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), value);
+    return value;
+}
+
+} // namespace
+
+class log_server_private
+{
+public:
+    explicit log_server_private(const memory_log_settings &settings)
+        : log(settings)
+        , faulty(log)
+    {
+    }
+
+    memory_log log;
+    faulty_log faulty;
+    std::string address;
+    MHD_Daemon *daemon = nullptr;
+
+    MHD_Result answerError(MHD_Connection *connection, std::error_code error, const std::string &text) const;
+    MHD_Result answer(MHD_Connection *connection, std::string_view path, std::string_view method, const std::string &body);
+    MHD_Result answerFaults(MHD_Connection *connection);
+
+    static MHD_Result handle(
+        void *self, MHD_Connection *connection, const char *url, const char *method, const char *version, const char *data, std::size_t *size, void **request);
+    static void complete(void *self, MHD_Connection *connection, void **request, MHD_RequestTerminationCode code);
+};
+
+// Closing the connection without an answer is how a lost answer looks to the client.
+MHD_Result log_server_private::answerError(MHD_Connection *connection, std::error_code error, const std::string &text) const
+{
+    if (error == platform_error::answerLost) {
+        return MHD_NO;
+    }
+    if (error == platform_error::belowRetention) {
+        return reply(connection, MHD_HTTP_GONE, text);
+    }
+    return reply(connection, error == platform_error::tooLarge ? MHD_HTTP_CONTENT_TOO_LARGE : MHD_HTTP_SERVICE_UNAVAILABLE, "{}");
+}
+
+MHD_Result log_server_private::answer(MHD_Connection *connection, std::string_view path, std::string_view method, const std::string &body)
+{
+    if (path == "/faults" && method == "POST") {
+        return answerFaults(connection);
+    }
+    if (!path.starts_with(Prefix) || !path.ends_with(Suffix) || path.size() <= Prefix.size() + Suffix.size()) {
+        return reply(connection, MHD_HTTP_NOT_FOUND, "{}");
+    }
+    const std::string_view stream = path.substr(Prefix.size(), path.size() - Prefix.size() - Suffix.size());
+    if (method == "POST") {
+        std::uint64_t offset = 0;
+        const std::error_code error = faulty.append(stream, body, std::chrono::milliseconds(0), offset);
+        return error ? answerError(connection, error, {}) : reply(connection, MHD_HTTP_OK, encodeAppendAnswer(offset));
+    }
+    if (method != "GET") {
+        return reply(connection, MHD_HTTP_METHOD_NOT_ALLOWED, "{}");
+    }
+    log_page page;
+    const std::chrono::milliseconds wait(std::min(argument(connection, "wait_ms"), WaitLimit));
+    const std::error_code error = faulty.read(stream, argument(connection, "from"), wait, page);
+    return error ? answerError(connection, error, encodePage(page)) : reply(connection, MHD_HTTP_OK, encodePage(page));
+}
+
+// Lets a script switch faults: POST /faults?down=1&delay_ms=N&lost_answers=N&lost_appends=N&duplicates=N
+MHD_Result log_server_private::answerFaults(MHD_Connection *connection)
+{
+    log_faults faults;
+    faults.isDown = argument(connection, "down") != 0;
+    faults.delay = std::chrono::milliseconds(argument(connection, "delay_ms"));
+    faults.lostAnswers = static_cast<int>(argument(connection, "lost_answers"));
+    faults.lostAppends = static_cast<int>(argument(connection, "lost_appends"));
+    faults.duplicates = static_cast<int>(argument(connection, "duplicates"));
+    faulty.setFaults(faults);
+    return reply(connection, MHD_HTTP_OK, "{}");
+}
+
+// Called by the library first without data, then for each part of the body, and last with a size of zero.
+MHD_Result log_server_private::handle(
+    void *self, MHD_Connection *connection, const char *url, const char *method, const char * /*version*/, const char *data, std::size_t *size, void **request)
+{
+    if (*request == nullptr) {
+        *request = new std::string();
+        return MHD_YES;
+    }
+    auto *body = static_cast<std::string *>(*request);
+    if (*size != 0) {
+        body->append(data, *size);
+        *size = 0;
+        return MHD_YES;
+    }
+    return static_cast<log_server_private *>(self)->answer(connection, url, method, *body);
+}
+
+void log_server_private::complete(void * /*self*/, MHD_Connection * /*connection*/, void **request, MHD_RequestTerminationCode /*code*/)
+{
+    delete static_cast<std::string *>(*request);
+    *request = nullptr;
+}
+
+} // namespace detail
+
+log_server::log_server(const std::string &address, const memory_log_settings &settings)
+    : d(std::make_unique<detail::log_server_private>(settings))
+{
+    const std::size_t colon = address.rfind(':');
+    sockaddr_in bound{};
+    bound.sin_family = AF_INET;
+    unsigned port = 0;
+    const bool hasPort = colon != std::string::npos
+        && std::from_chars(address.data() + colon + 1, address.data() + address.size(), port).ptr == address.data() + address.size() && port < 65536;
+    if (!hasPort || inet_pton(AF_INET, address.substr(0, colon).c_str(), &bound.sin_addr) != 1) {
+        throw std::runtime_error("not an address of the form IP:PORT: " + address);
+    }
+    bound.sin_port = htons(static_cast<std::uint16_t>(port));
+    // A read blocks until a record comes, so every connection has a thread of its own.
+    d->daemon = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+                                 0,
+                                 nullptr,
+                                 nullptr,
+                                 &detail::log_server_private::handle,
+                                 d.get(),
+                                 MHD_OPTION_SOCK_ADDR,
+                                 reinterpret_cast<sockaddr *>(&bound),
+                                 MHD_OPTION_NOTIFY_COMPLETED,
+                                 &detail::log_server_private::complete,
+                                 d.get(),
+                                 MHD_OPTION_CONNECTION_LIMIT,
+                                 64U,
+                                 MHD_OPTION_END);
+    if (d->daemon == nullptr) {
+        throw std::runtime_error("cannot listen on " + address);
+    }
+    const MHD_DaemonInfo *info = MHD_get_daemon_info(d->daemon, MHD_DAEMON_INFO_BIND_PORT);
+    d->address = address.substr(0, colon) + ':' + std::to_string(info->port);
+}
+
+log_server::~log_server()
+{
+    MHD_stop_daemon(d->daemon);
+}
+
+const std::string &log_server::address() const
+{
+    return d->address;
+}
+
+std::string log_server::url() const
+{
+    return "http://" + d->address;
+}
+
+memory_log &log_server::log()
+{
+    return d->log;
+}
+
+void log_server::setFaults(const log_faults &faults)
+{
+    d->faulty.setFaults(faults);
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/tests/support/virtual_wall_clock.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "config/wall_clock.h"
+
+#include <atomic>
+
+namespace teaselward
+{
+
+/** Wall clock that a test sets. Any thread may call it. */
+class virtual_wall_clock : public wall_clock
+{
+public:
+    wall_time now() const override
+    {
+        return wall_time(std::chrono::milliseconds(m_now.load()));
+    }
+
+    /** @param now the present instant from now on */
+    void set(wall_time now)
+    {
+        m_now = now.time_since_epoch().count();
+    }
+
+private:
+    std::atomic<std::chrono::milliseconds::rep> m_now = 0;
+};
+
+} // namespace teaselward
