Serve callers and call endpoints over HTTP

Cause: the first path needs the HTTP adapters at both ends. Change: listener with suspended connections, routes in a table of member pointers, ticket codec, JSON codecs, reply thread; endpoint client on the multi interface of libcurl; stand-in for an endpoint as a class and as a program.

--- /dev/null
+++ b/src/http/accepted_call.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "agent/action/call_endpoint.h"
+#include "base/clock.h"
+
+namespace teaselward
+{
+
+/** Call on its way to the thread of the endpoint client. */
+struct accepted_call {
+    call_endpoint call;
+    mono_time deadline; ///< End of the call's time limit.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/call_verdict.cpp
@@ -0,0 +1,91 @@
+#include "http/call_verdict.h"
+
+#include <array>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+constexpr long FirstSuccess = 200;
+constexpr long LastSuccess = 299;
+constexpr long ServiceUnavailable = 503;
+
+// Longest text of a failure that is kept for operators.
+constexpr std::size_t TextLimit = 1000;
+
+bool isSuccess(const call_facts &facts)
+{
+    return facts.answered && facts.status >= FirstSuccess && facts.status <= LastSuccess;
+}
+
+bool isDeclined(const call_facts &facts)
+{
+    return facts.answered && facts.status == ServiceUnavailable && facts.saysNotRun;
+}
+
+bool isReportedFailure(const call_facts &facts)
+{
+    return facts.answered || facts.resultTooLarge;
+}
+
+bool isUnsentInTime(const call_facts &facts)
+{
+    return facts.bytesSent == 0 && facts.timedOut;
+}
+
+bool isUnsent(const call_facts &facts)
+{
+    return facts.bytesSent == 0;
+}
+
+bool isLate(const call_facts &facts)
+{
+    return facts.timedOut;
+}
+
+bool isLost(const call_facts & /*facts*/)
+{
+    return true;
+}
+
+struct verdict_rule {
+    bool (*applies)(const call_facts &facts);
+    task_verdict verdict;
+    reason why;
+};
+
+// The first rule that applies counts. A request that was sent may run even if its time limit has passed.
+constexpr std::array Rules = {
+    verdict_rule{&isSuccess, task_verdict::succeeded, reason::none},
+    verdict_rule{&isDeclined, task_verdict::notStarted, reason::overloaded},
+    verdict_rule{&isReportedFailure, task_verdict::failed, reason::taskFailed},
+    verdict_rule{&isUnsentInTime, task_verdict::notStarted, reason::deadlineExceeded},
+    verdict_rule{&isUnsent, task_verdict::notStarted, reason::noEndpoint},
+    verdict_rule{&isLate, task_verdict::unknown, reason::deadlineExceeded},
+    verdict_rule{&isLost, task_verdict::unknown, reason::outcomeUnknown},
+};
+
+} // namespace
+
+task_outcome judgeCall(call_facts facts)
+{
+    task_outcome outcome;
+    for (const verdict_rule &rule : Rules) {
+        if (rule.applies(facts)) {
+            outcome.verdict = rule.verdict;
+            outcome.why = rule.why;
+            break;
+        }
+    }
+    outcome.runTime = facts.duration;
+    outcome.body = std::move(facts.body);
+    if (outcome.verdict != task_verdict::succeeded && outcome.body.size() > TextLimit) {
+        outcome.body.resize(TextLimit);
+    }
+    return outcome;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/call_verdict.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "core/task_outcome.h"
+#include "http/call_facts.h"
+
+namespace teaselward
+{
+
+/**
+ * Tells what a call proves about its task. The task counts as not started only if no byte of the request was sent or the
+ * endpoint says so.
+ * @param facts what is known about the call
+ * @return outcome of the task
+ */
+task_outcome judgeCall(call_facts facts);
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/caller_api.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/bounded_ring.h"
+#include "http/event_dispatcher.h"
+#include "http/front_end_settings.h"
+#include "http/http_reply.h"
+#include "http/request_handler.h"
+#include "http/ticket_codec.h"
+
+#include <string_view>
+
+namespace teaselward
+{
+
+/** Routes for callers. It runs on the thread of the callers' listener. */
+class caller_api : public request_handler
+{
+public:
+    /**
+     * Creates the routes. All references must outlive the object.
+     * @param settings limits of the interface
+     * @param codec codec of the tickets
+     * @param dispatcher way to the decisions
+     * @param replies ring of the reply thread, which counts the requests
+     */
+    caller_api(const front_end_settings &settings, const ticket_codec &codec, event_dispatcher &dispatcher, bounded_ring<http_reply> &replies);
+
+    bool handle(http_exchange &exchange) override;
+    http_response refuseLargeBody() override;
+    void finished(const http_response &response, bool delivered, std::chrono::microseconds duration) override;
+
+private:
+    bool issueTickets(http_exchange &exchange, std::string_view argument);
+    bool submitJob(http_exchange &exchange, std::string_view argument);
+    bool queryJob(http_exchange &exchange, std::string_view argument);
+    bool cancelJob(http_exchange &exchange, std::string_view argument);
+
+    const front_end_settings &m_settings;
+    const ticket_codec &m_codec;
+    event_dispatcher &m_dispatcher;
+    bounded_ring<http_reply> &m_replies;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/endpoint_call.cpp
@@ -0,0 +1,160 @@
+#include "http/endpoint_call.h"
+
+#include "http/http_error.h"
+
+#include <algorithm>
+#include <system_error>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Header in which an endpoint that refuses a task promises that it did not run it.
+constexpr const char *NotRunHeader = "Teaselward-Not-Run";
+
+// Appends one part of the response; a smaller return value makes the library give up the request.
+std::size_t receiveBody(const char *data, std::size_t size, std::size_t count, void *self);
+
+// Builds the URL. The kind is escaped, because its name may hold any character.
+std::string urlOf(CURL *handle, const std::string &address, const std::string &kind)
+{
+    char *escaped = curl_easy_escape(handle, kind.c_str(), static_cast<int>(kind.size()));
+    if (escaped == nullptr) {
+        throw std::system_error(http_error::clientFailed);
+    }
+    std::string url = "http://" + address + "/run/" + escaped;
+    curl_free(escaped);
+    return url;
+}
+
+std::string taskHeader(const task_id &id)
+{
+    return "Teaselward-Task: " + std::to_string(id.ticket.incarnation) + "-" + std::to_string(id.ticket.sequence) + "-" + std::to_string(id.index);
+}
+
+} // namespace
+
+namespace detail
+{
+
+class endpoint_call_private
+{
+public:
+    endpoint_call_private(const endpoint_client_settings &clientSettings, accepted_call acceptedCall)
+        : settings(clientSettings)
+        , accepted(std::move(acceptedCall))
+        , handle(curl_easy_init())
+    {
+    }
+
+    ~endpoint_call_private()
+    {
+        curl_easy_cleanup(handle);
+        curl_slist_free_all(headers);
+    }
+
+    void addHeader(const std::string &line)
+    {
+        curl_slist *list = curl_slist_append(headers, line.c_str());
+        if (list == nullptr) {
+            throw std::system_error(http_error::clientFailed);
+        }
+        headers = list;
+    }
+
+    const endpoint_client_settings &settings;
+    accepted_call accepted;
+    CURL *handle;
+    curl_slist *headers = nullptr;
+    std::string body;
+    bool resultTooLarge = false;
+};
+
+} // namespace detail
+
+namespace
+{
+
+std::size_t receiveBody(const char *data, std::size_t size, std::size_t count, void *self)
+{
+    auto *call = static_cast<detail::endpoint_call_private *>(self);
+    const std::size_t bytes = size * count;
+    if (call->body.size() + bytes > call->settings.resultLimit) {
+        call->resultTooLarge = true;
+        return 0;
+    }
+    call->body.append(data, bytes);
+    return bytes;
+}
+
+} // namespace
+
+endpoint_call::endpoint_call(const endpoint_client_settings &settings, accepted_call accepted, std::chrono::milliseconds timeLimit)
+    : d(std::make_unique<detail::endpoint_call_private>(settings, std::move(accepted)))
+{
+    if (d->handle == nullptr) {
+        throw std::system_error(http_error::clientFailed);
+    }
+    d->addHeader(taskHeader(d->accepted.call.id));
+    d->addHeader("Content-Type: application/octet-stream");
+    d->addHeader("Connection: close");
+    d->addHeader("Expect:"); // A refused expectation would make the library send the request again.
+
+    CURL *handle = d->handle;
+    const std::string &payload = d->accepted.call.payload;
+    curl_easy_setopt(handle, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(handle, CURLOPT_URL, urlOf(handle, settings.address, d->accepted.call.kind).c_str());
+    curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(handle, CURLOPT_PROXY, ""); // The environment of the process must not redirect tasks.
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, d->headers);
+    curl_easy_setopt(handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, payload.data());
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(payload.size()));
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &receiveBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, d.get());
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(settings.connectTimeout, timeLimit).count()));
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeLimit.count()));
+    // The library repeats a request by itself if a reused connection turns out to be closed. The endpoint may have read
+    // the first copy, so each request gets a connection of its own.
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+}
+
+endpoint_call::~endpoint_call() = default;
+
+CURL *endpoint_call::handle() const
+{
+    return d->handle;
+}
+
+const task_id &endpoint_call::task() const
+{
+    return d->accepted.call.id;
+}
+
+call_facts endpoint_call::facts(CURLcode result)
+{
+    call_facts facts;
+    facts.answered = result == CURLE_OK;
+    facts.timedOut = result == CURLE_OPERATION_TIMEDOUT && mono_clock::now() >= d->accepted.deadline;
+    facts.resultTooLarge = d->resultTooLarge;
+    // The library counts only what the system accepted, so zero proves that nothing was sent.
+    long sent = 0;
+    curl_easy_getinfo(d->handle, CURLINFO_REQUEST_SIZE, &sent);
+    facts.bytesSent = static_cast<std::uint64_t>(sent);
+    curl_easy_getinfo(d->handle, CURLINFO_RESPONSE_CODE, &facts.status);
+    curl_off_t duration = 0;
+    curl_easy_getinfo(d->handle, CURLINFO_TOTAL_TIME_T, &duration);
+    facts.duration = std::chrono::microseconds(duration);
+    curl_header *header = nullptr;
+    facts.saysNotRun = curl_easy_header(d->handle, NotRunHeader, 0, CURLH_HEADER, -1, &header) == CURLHE_OK && std::string_view(header->value) == "1";
+    facts.body = facts.answered ? std::move(d->body) : d->resultTooLarge ? "the result is above the limit" : curl_easy_strerror(result);
+    return facts;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/endpoint_call.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "http/accepted_call.h"
+#include "http/call_facts.h"
+#include "http/endpoint_client_settings.h"
+
+#include <curl/curl.h>
+
+#include <memory>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class endpoint_call_private;
+}
+
+/** One HTTP request to the endpoint. */
+class endpoint_call
+{
+public:
+    /**
+     * Prepares the request.
+     * @param settings settings of the calls; they must outlive the object
+     * @param accepted the call
+     * @param timeLimit time left until the call's deadline; above zero
+     * @throws std::system_error with http_error::clientFailed if the library has no memory left
+     */
+    endpoint_call(const endpoint_client_settings &settings, accepted_call accepted, std::chrono::milliseconds timeLimit);
+    ~endpoint_call();
+
+    endpoint_call(const endpoint_call &) = delete;
+    endpoint_call &operator=(const endpoint_call &) = delete;
+
+    /** @return handle for the multi interface of the library; its private pointer is this object */
+    CURL *handle() const;
+
+    /** @return task that the call runs */
+    const task_id &task() const;
+
+    /**
+     * Collects what is known after the end of the request.
+     * @param result result that the library reported
+     * @return the facts; the body is moved out of the object
+     */
+    call_facts facts(CURLcode result);
+
+private:
+    std::unique_ptr<detail::endpoint_call_private> d;
+};
+
+} // namespace teaselward
--- a/src/http/front_end.h
+++ b/src/http/front_end.h
@@ -7,6 +7,7 @@
 #include "log/decision_log.h"
 
 #include <memory>
+#include <string>
 
 namespace teaselward
 {
@@ -36,6 +37,9 @@
     front_end(const front_end &) = delete;
     front_end &operator=(const front_end &) = delete;
 
+    /** @return address of the callers' listener as IP:PORT, with the port that the system chose if none was set */
+    std::string callerAddress() const;
+
     /**
      * Hands over an answer: reply_tickets, reply_job or reply_status. It blocks while the ring of answers is full.
      * @param reply the answer
--- a/src/http/front_end_settings.h
+++ b/src/http/front_end_settings.h
@@ -15,6 +15,10 @@
     std::string adminToken; ///< Bearer token that operators must send; empty only on a loopback address.
     std::string ticketKey; ///< Secret shared by the entries, from which the key of the ticket MAC is derived.
     std::size_t bodyLimit = 4U << 20U; ///< Bytes of one request.
+    std::uint32_t taskLimit = 1000; ///< Tasks of one job at the interface; the rules of a kind may allow fewer.
+    std::uint32_t ticketLimit = 1000; ///< Tickets of one request.
+    std::chrono::milliseconds timeLimit = std::chrono::minutes(4); ///< Longest time limit of a job and longest wait of a query.
+    std::chrono::milliseconds drainBound = std::chrono::seconds(30); ///< Bound of a drain that an operator starts without one.
     std::uint32_t connectionLimit = 4096; ///< Connections at once.
     std::chrono::milliseconds idleTimeout = std::chrono::seconds(60); ///< A connection without traffic is closed after this time.
     std::size_t ringCapacity = 8192; ///< Answers on their way to connections.
--- /dev/null
+++ b/src/http/http_error.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <system_error>
+
+namespace teaselward
+{
+
+/** Errors of the HTTP adapters. */
+enum class http_error {
+    badAddress = 1, ///< The address is not IP:PORT.
+    listenFailed, ///< The listener cannot be opened.
+    tokenMissing, ///< The administration listener has no token and its address is not a loopback address.
+    ticketKeyMissing, ///< No secret is set for the tickets.
+    clientFailed, ///< The HTTP client cannot be set up.
+};
+
+/** @return the category of the errors of the HTTP adapters */
+const std::error_category &httpCategory();
+
+/**
+ * Makes an error code of an error of the HTTP adapters.
+ * @param value the error
+ * @return its code in httpCategory()
+ */
+// NOLINTNEXTLINE(readability-identifier-naming): the standard library looks for this name.
+std::error_code make_error_code(http_error value);
+
+} // namespace teaselward
+
+template<>
+struct std::is_error_code_enum<teaselward::http_error> : std::true_type {
+};
--- /dev/null
+++ b/src/http/http_exchange.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "http/http_request.h"
+#include "http/http_response.h"
+
+#include <cstddef>
+#include <optional>
+
+struct MHD_Connection;
+
+namespace teaselward
+{
+
+/** One request on a connection, from its headers to the end of its response. */
+struct http_exchange {
+    MHD_Connection *connection = nullptr;
+    http_request request;
+    std::optional<http_response> response; ///< Set before the connection is resumed.
+    std::size_t discarded = 0; ///< Bytes of an oversize body that were not kept.
+    bool dispatched = false; ///< The request is complete and was handed to its handler.
+};
+
+/**
+ * Suspends the connection of a request, so that it waits without a thread. Called by the listener's thread.
+ * @param exchange the request
+ */
+void suspendExchange(http_exchange &exchange);
+
+/**
+ * Sets the response of a request whose connection is suspended and resumes the connection. Called by any thread; the
+ * exchange may be gone when the function returns.
+ * @param exchange the request
+ * @param response the response
+ */
+void resumeExchange(http_exchange &exchange, http_response response);
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/http_listener.cpp
@@ -0,0 +1,284 @@
+#include "http/http_listener.h"
+
+#include "http/http_error.h"
+#include "http/listen_address.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+#include <microhttpd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cstdarg>
+#include <cstdio>
+#include <string_view>
+#include <system_error>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// An oversize body is read and discarded up to this multiple of the limit, because closing a connection with unread data
+// resets it and the client would not see the response.
+constexpr std::size_t DiscardFactor = 4;
+
+// Longest wait for clients to take the responses that are set when the listener stops.
+constexpr std::chrono::milliseconds StopGrace = std::chrono::seconds(2);
+
+std::string headerValue(MHD_Connection *connection, const char *name)
+{
+    const char *value = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
+    return value != nullptr ? value : "";
+}
+
+unsigned secondsOf(std::chrono::milliseconds time)
+{
+    return static_cast<unsigned>(std::max<std::chrono::seconds::rep>(1, std::chrono::ceil<std::chrono::seconds>(time).count()));
+}
+
+} // namespace
+
+namespace detail
+{
+
+class http_listener_private
+{
+public:
+    http_listener_private(const http_listener_settings &listenerSettings, request_handler &receiver, decision_log &lines)
+        : settings(listenerSettings)
+        , handler(receiver)
+        , log(lines)
+    {
+    }
+
+    // Creates the record of a request when its headers are complete.
+    MHD_Result begin(MHD_Connection *connection, const char *url, const char *method, void **context)
+    {
+        auto *exchange = new http_exchange;
+        *context = exchange;
+        exchange->connection = connection;
+        exchange->request.receivedAt = mono_clock::now();
+        exchange->request.path = url;
+        exchange->request.method = method;
+        exchange->request.authorization = headerValue(connection, MHD_HTTP_HEADER_AUTHORIZATION);
+        const char *wait = MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, "wait_ms");
+        exchange->request.waitText = wait != nullptr ? wait : "";
+        return MHD_YES;
+    }
+
+    // Keeps a part of the body, or discards it if the body is above the limit.
+    MHD_Result receive(http_exchange &exchange, const char *data, std::size_t size) const
+    {
+        http_request &request = exchange.request;
+        if (!request.tooLarge && request.body.size() + size <= settings.bodyLimit) {
+            request.body.append(data, size);
+            return MHD_YES;
+        }
+        request.tooLarge = true;
+        std::string().swap(request.body);
+        exchange.discarded += size;
+        return exchange.discarded <= settings.bodyLimit * DiscardFactor ? MHD_YES : MHD_NO;
+    }
+
+    // Hands a complete request to the handler, or sends the response once it is set.
+    MHD_Result advance(http_exchange &exchange)
+    {
+        if (!exchange.dispatched) {
+            exchange.dispatched = true;
+            {
+                const absl::MutexLock lock(&mutex);
+                ++inProgress;
+            }
+            if (exchange.request.tooLarge) {
+                exchange.response = handler.refuseLargeBody();
+            } else if (!handler.handle(exchange)) {
+                return MHD_YES; // Suspended; another thread may change the exchange from now on.
+            }
+        }
+        return exchange.response ? send(exchange) : MHD_YES;
+    }
+
+    // Queues the response with its headers.
+    static MHD_Result send(http_exchange &exchange)
+    {
+        http_response &response = *exchange.response;
+        MHD_Response *message = MHD_create_response_from_buffer(response.body.size(), response.body.data(), MHD_RESPMEM_PERSISTENT);
+        if (message == nullptr) {
+            return MHD_NO;
+        }
+        MHD_add_response_header(message, MHD_HTTP_HEADER_CONTENT_TYPE, response.contentType.c_str());
+        if (response.retryAfter.count() > 0) {
+            MHD_add_response_header(message, MHD_HTTP_HEADER_RETRY_AFTER, std::to_string(secondsOf(response.retryAfter)).c_str());
+        }
+        if (!response.allow.empty()) {
+            MHD_add_response_header(message, MHD_HTTP_HEADER_ALLOW, response.allow.c_str());
+        }
+        if (response.status == MHD_HTTP_UNAUTHORIZED) {
+            MHD_add_response_header(message, MHD_HTTP_HEADER_WWW_AUTHENTICATE, "Bearer");
+        }
+        const MHD_Result result = MHD_queue_response(exchange.connection, response.status, message);
+        MHD_destroy_response(message);
+        return result;
+    }
+
+    // Frees the record of a request after its response or the loss of its connection.
+    void end(http_exchange *exchange, bool delivered)
+    {
+        if (exchange->dispatched) {
+            if (exchange->response) {
+                handler.finished(
+                    *exchange->response, delivered, std::chrono::duration_cast<std::chrono::microseconds>(mono_clock::now() - exchange->request.receivedAt));
+            }
+            const absl::MutexLock lock(&mutex);
+            --inProgress;
+            changed.SignalAll();
+        }
+        delete exchange;
+    }
+
+    // The functions below have the signatures that the library asks for.
+
+    static MHD_Result onAccess(void *self,
+                               MHD_Connection *connection,
+                               const char *url,
+                               const char *method,
+                               const char * /*version*/,
+                               const char *data,
+                               std::size_t *size,
+                               void **context)
+    {
+        auto *listener = static_cast<http_listener_private *>(self);
+        if (*context == nullptr) {
+            return listener->begin(connection, url, method, context);
+        }
+        auto &exchange = *static_cast<http_exchange *>(*context);
+        if (*size > 0) {
+            const MHD_Result result = listener->receive(exchange, data, *size);
+            *size = 0;
+            return result;
+        }
+        return listener->advance(exchange);
+    }
+
+    static void onCompleted(void *self, MHD_Connection * /*connection*/, void **context, MHD_RequestTerminationCode code)
+    {
+        if (*context != nullptr) {
+            static_cast<http_listener_private *>(self)->end(static_cast<http_exchange *>(*context), code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+            *context = nullptr;
+        }
+    }
+
+    static void onConnection(void *self, MHD_Connection * /*connection*/, void ** /*context*/, MHD_ConnectionNotificationCode code)
+    {
+        static_cast<http_listener_private *>(self)->connections += code == MHD_CONNECTION_NOTIFY_STARTED ? 1 : -1;
+    }
+
+    static void onLog(void *self, const char *format, va_list arguments)
+    {
+        auto *listener = static_cast<http_listener_private *>(self);
+        if (!listener->log.isEnabled()) {
+            return;
+        }
+        std::array<char, 256> text{};
+        std::vsnprintf(text.data(), text.size(), format, arguments);
+        const std::string_view line(text.data());
+        listener->log.write(log_part::http, line.substr(0, line.find_last_not_of(" \n") + 1));
+    }
+
+    http_listener_settings settings;
+    request_handler &handler;
+    decision_log &log;
+    MHD_Daemon *daemon = nullptr;
+    int descriptor = -1;
+    bool quiesced = false;
+    std::atomic<std::int64_t> connections = 0;
+    std::string address;
+
+    absl::Mutex mutex;
+    absl::CondVar changed;
+    std::size_t inProgress ABSL_GUARDED_BY(mutex) = 0; ///< Dispatched requests without a sent response.
+};
+
+} // namespace detail
+
+http_listener::http_listener(const http_listener_settings &settings, request_handler &handler, decision_log &log)
+    : d(std::make_unique<detail::http_listener_private>(settings, handler, log))
+{
+    d->descriptor = listen_address(settings.listen).openSocket();
+    d->address = listen_address::boundAddress(d->descriptor);
+    d->daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG,
+                                 0,
+                                 nullptr,
+                                 nullptr,
+                                 &detail::http_listener_private::onAccess,
+                                 d.get(),
+                                 // The logger comes first, so that the library uses it for the options that follow.
+                                 MHD_OPTION_EXTERNAL_LOGGER,
+                                 &detail::http_listener_private::onLog,
+                                 d.get(),
+                                 MHD_OPTION_LISTEN_SOCKET,
+                                 d->descriptor,
+                                 MHD_OPTION_CONNECTION_LIMIT,
+                                 static_cast<unsigned>(settings.connectionLimit),
+                                 MHD_OPTION_CONNECTION_TIMEOUT,
+                                 secondsOf(settings.idleTimeout),
+                                 MHD_OPTION_NOTIFY_COMPLETED,
+                                 &detail::http_listener_private::onCompleted,
+                                 d.get(),
+                                 MHD_OPTION_NOTIFY_CONNECTION,
+                                 &detail::http_listener_private::onConnection,
+                                 d.get(),
+                                 MHD_OPTION_END);
+    if (d->daemon == nullptr) {
+        ::close(d->descriptor);
+        throw std::system_error(http_error::listenFailed, settings.listen);
+    }
+}
+
+http_listener::~http_listener()
+{
+    stop();
+}
+
+const std::string &http_listener::address() const
+{
+    return d->address;
+}
+
+std::int64_t http_listener::connections() const
+{
+    return d->connections;
+}
+
+void http_listener::quiesce()
+{
+    if (d->daemon != nullptr && !d->quiesced) {
+        d->quiesced = true;
+        MHD_quiesce_daemon(d->daemon);
+    }
+}
+
+void http_listener::stop()
+{
+    if (d->daemon == nullptr) {
+        return;
+    }
+    quiesce();
+    {
+        const absl::MutexLock lock(&d->mutex);
+        const auto until = mono_clock::now() + StopGrace;
+        while (d->inProgress > 0 && mono_clock::now() < until) {
+            d->changed.WaitWithTimeout(&d->mutex, absl::FromChrono(until - mono_clock::now()));
+        }
+    }
+    MHD_stop_daemon(d->daemon);
+    d->daemon = nullptr;
+    // The library leaves the socket open after MHD_quiesce_daemon() and may use it until MHD_stop_daemon() returns.
+    ::close(d->descriptor);
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/http_listener_settings.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace teaselward
+{
+
+/** Settings of one HTTP listener. */
+struct http_listener_settings {
+    std::string listen; ///< Address as IP:PORT.
+    std::size_t bodyLimit = 0; ///< Bytes of one request.
+    std::uint32_t connectionLimit = 0; ///< Connections at once.
+    std::chrono::milliseconds idleTimeout{}; ///< A connection without traffic is closed after this time.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/http_request.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <string>
+
+namespace teaselward
+{
+
+/** Request as it was received. */
+struct http_request {
+    std::string method;
+    std::string path; ///< Decoded, without the query.
+    std::string waitText; ///< Value of the query argument wait_ms; empty if there is none.
+    std::string authorization; ///< Value of the header of that name.
+    std::string body;
+    bool tooLarge = false; ///< The body is above the limit and was discarded.
+    mono_time receivedAt; ///< Time at which the headers were complete.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/http_route.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "http/http_exchange.h"
+
+#include <string_view>
+
+namespace teaselward
+{
+
+/** Entry of a table of routes. */
+template<typename Api>
+struct http_route {
+    std::string_view method;
+    std::string_view pattern; ///< Path; one '*' stands for an argument without '/'.
+    bool (Api::*handle)(http_exchange &exchange, std::string_view argument); ///< Returns as request_handler::handle().
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/request_handler.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "http/http_exchange.h"
+#include "http/http_response.h"
+
+#include <chrono>
+
+namespace teaselward
+{
+
+/** Receiver of the complete requests of a listener. All calls come from the listener's thread. */
+class request_handler
+{
+public:
+    virtual ~request_handler() = default;
+
+    /**
+     * Takes a complete request. The handler either sets the response or suspends the connection; then another thread sets
+     * the response and resumes the connection.
+     * @param exchange the request; it stays valid until its response was sent
+     * @return whether the response is set; otherwise the connection is suspended
+     */
+    virtual bool handle(http_exchange &exchange) = 0;
+
+    /**
+     * Makes the response to a body above the limit.
+     * @return the response
+     */
+    virtual http_response refuseLargeBody() = 0;
+
+    /**
+     * Learns that an exchange has ended.
+     * @param response the response; its reason tells the outcome
+     * @param delivered whether the whole response was sent
+     * @param duration time since the headers were complete
+     */
+    virtual void finished(const http_response &response, bool delivered, std::chrono::microseconds duration) = 0;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/submission_request.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Body of a submission. */
+struct submission_request {
+    std::string ticket; ///< Text of the ticket.
+    std::string team;
+    std::string kind;
+    std::uint64_t timeLimitMs = 0; ///< Zero for the time limit of the kind.
+    std::vector<std::string> tasks; ///< One payload for each task.
+    std::string key;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/ticket_codec.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/ticket.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class ticket_codec_private;
+}
+
+/**
+ * Encodes tickets as texts that only the entries can make: base64url of version, incarnation, sequence, issue time and home,
+ * followed by a MAC (keyed BLAKE2b) over all of them. It may be used from several threads at once.
+ */
+class ticket_codec
+{
+public:
+    /**
+     * Derives the key of the MAC.
+     * @param secret secret shared by the entries
+     * @throws std::system_error with http_error::ticketKeyMissing if the secret is empty
+     */
+    explicit ticket_codec(std::string_view secret);
+    ~ticket_codec();
+
+    ticket_codec(const ticket_codec &) = delete;
+    ticket_codec &operator=(const ticket_codec &) = delete;
+
+    /**
+     * Encodes a ticket.
+     * @param value the ticket
+     * @return its text, made of letters, digits, '-' and '_'
+     */
+    std::string encode(const ticket &value) const;
+
+    /**
+     * Decodes a text and checks its MAC in constant time.
+     * @param text the text
+     * @return the ticket, or nothing if the text was not made with the same secret
+     */
+    std::optional<ticket> decode(std::string_view text) const;
+
+private:
+    std::unique_ptr<detail::ticket_codec_private> d;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/tests/stub/endpoint_stub_main.cpp
@@ -0,0 +1,35 @@
+#include "stub/endpoint_stub.h"
+
+#include <gflags/gflags.h>
+#include <pthread.h>
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+
+DEFINE_string(listen, "127.0.0.1:0", "address as IP:PORT; port 0 lets the system choose");
+DEFINE_int32(delay_ms, 0, "run time of each task in milliseconds");
+DEFINE_bool(fail, false, "answer each task with status 500");
+DEFINE_bool(decline, false, "refuse each task as not run, with status 503");
+DEFINE_bool(hang_up, false, "close each connection after its request was read");
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    // Blocked before the threads start, so that only sigwait() takes the signals.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    try {
+        const teaselward::endpoint_stub stub({FLAGS_listen, std::chrono::milliseconds(FLAGS_delay_ms), FLAGS_fail, FLAGS_decline, FLAGS_hang_up});
+        std::cout << "listening " << stub.address() << std::endl;
+        int signal = 0;
+        sigwait(&signals, &signal);
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
