Add texts of tickets and tasks for log lines

Cause: the decisions of entry and agent name tickets and tasks in their log lines; absl::StrCat of the installed Abseil does not take standard string views. Change: concat() and the fields of a ticket and a task in core. Conclusion: shared by job and agent.

--- /dev/null
+++ b/src/core/task_text.cpp
@@ -0,0 +1,18 @@
+#include "core/task_text.h"
+
+#include "core/concat.h"
+
+namespace teaselward
+{
+
+std::string ticketText(const ticket_id &ticket)
+{
+    return concat("ticket=", ticket.incarnation, "/", ticket.sequence);
+}
+
+std::string taskText(const task_id &task)
+{
+    return concat(ticketText(task.ticket), " task=", task.index);
+}
+
+} // namespace teaselward
