Record starts in the agent's ledger before the endpoint is called

Cause: a task must start at most once, whatever happens to connections and entries. Change: ledger of starts, outcomes, tombstones and fences with retention and bounds; agent core with its table of handlers.

--- /dev/null
+++ b/src/agent/agent_core.cpp
@@ -0,0 +1,25 @@
+#include "agent/agent_core.h"
+
+#include "agent/agent_core_private.h"
+
+namespace teaselward
+{
+
+agent_core::agent_core(const agent_core_settings &settings, decision_log &log)
+    : d(std::make_unique<detail::agent_core_private>(settings, log))
+{
+}
+
+agent_core::~agent_core() = default;
+
+void agent_core::handle(const agent_event &event, mono_time now, std::vector<agent_action> &actions)
+{
+    d->handle(event, now, actions);
+}
+
+mono_time agent_core::nextDue() const
+{
+    return d->nextDue();
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/agent/agent_core_private.cpp
@@ -0,0 +1,236 @@
+#include "agent/agent_core_private.h"
+
+#include "core/concat.h"
+#include "core/reason_text.h"
+#include "core/task_text.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace teaselward::detail
+{
+
+namespace
+{
+
+// A start that never took its credit leaves it with the entry, so the answer returns it.
+constexpr std::int32_t UntakenCredit = 1;
+
+} // namespace
+
+template<auto Member, typename Event>
+void agent_core_private::call(const agent_event &event)
+{
+    (this->*Member)(std::get<Event>(event));
+}
+
+agent_core_private::agent_core_private(const agent_core_settings &settings, decision_log &log)
+    : m_log(log)
+    , m_ledger(settings.retention, settings.maxRecords, settings.maxResultBytes)
+    , m_credits(settings.self.slots)
+{
+}
+
+// Finds the handler by the index of the event in the variant; both lists have the same order.
+void agent_core_private::handle(const agent_event &event, mono_time now, std::vector<agent_action> &actions)
+{
+    using core = agent_core_private;
+    static constexpr std::array<handler, std::variant_size_v<agent_event>> handlers = {
+        &core::call<&core::onStart, start_received>,
+        &core::call<&core::onRevoke, revoke_received>,
+        &core::call<&core::onFence, fence_received>,
+        &core::call<&core::onDemand, demand_received>,
+        &core::call<&core::onCallFinished, call_finished>,
+        &core::call<&core::onEntryJoined, entry_joined>,
+        &core::call<&core::onEntryLost, entry_lost>,
+        &core::call<&core::onTimer, agent_timer_fired>,
+        &core::call<&core::onDrainStarted, agent_drain_started>,
+    };
+    m_now = now;
+    m_actions = &actions;
+    m_ledger.expire(now);
+    (this->*handlers.at(event.index()))(event);
+    finishDrainIfIdle();
+    m_actions = nullptr;
+}
+
+mono_time agent_core_private::nextDue() const
+{
+    const bool awaitsBound = m_drainEnd && !m_isDrained;
+    return std::min(m_ledger.nextDue(), awaitsBound ? *m_drainEnd : mono_time::max());
+}
+
+// Records the start before the endpoint is called. A task that has a record never reaches the endpoint again.
+void agent_core_private::onStart(const start_received &event)
+{
+    const task_id &id = event.order.id;
+    grant(m_credits.setDemand(event.from, event.order.demand, m_now), nullptr);
+    if (const ledger_record *record = m_ledger.find(id); record != nullptr) {
+        answerKnownStart(event, *record);
+    } else if (m_ledger.isFenced(id.ticket)) {
+        // The entry learns from this reason that its ticket has been taken over, and gives up the job.
+        refuseStart(event, reason::outcomeUnknown, UntakenCredit);
+    } else if (m_drainEnd) {
+        refuseStart(event, reason::draining, 0);
+    } else if (!m_ledger.hasRoom()) {
+        refuseStart(event, reason::overloaded, UntakenCredit);
+    } else if (!m_credits.take(event.from)) {
+        refuseStart(event, reason::overloaded, 0);
+    } else {
+        m_ledger.recordStart(id);
+        m_running[id].push_back({.call = event.call, .from = event.from, .session = m_sessions.current(event.from)});
+        if (m_log.isEnabled()) {
+            m_log.write(log_part::agent, concat("Started a task. ", taskText(id), " kind=", event.order.kind, " entry=", event.from.value));
+        }
+        m_actions->push_back(call_endpoint{.id = id, .kind = event.order.kind, .payload = event.order.payload, .timeLimit = event.order.timeLimit});
+    }
+}
+
+// Answers a start from the ledger, at once or when the running task ends.
+void agent_core_private::answerKnownStart(const start_received &event, const ledger_record &record)
+{
+    const task_id &id = event.order.id;
+    if (record.state == held_state::running) {
+        m_running[id].push_back({.call = event.call, .from = event.from, .session = m_sessions.current(event.from)});
+        return;
+    }
+    if (record.state == held_state::notStarted) {
+        refuseStart(event, m_ledger.isFenced(id.ticket) ? reason::outcomeUnknown : record.outcome.why, UntakenCredit);
+        return;
+    }
+    if (m_log.isEnabled()) {
+        m_log.write(log_part::agent, concat("Answered a repeated start from the ledger. ", taskText(id), " entry=", event.from.value));
+    }
+    m_actions->push_back(answer_start{.call = event.call, .id = id, .outcome = record.outcome, .credits = UntakenCredit});
+}
+
+// Answers that the task was not started here.
+void agent_core_private::refuseStart(const start_received &event, reason why, std::int32_t credits)
+{
+    if (m_log.isEnabled()) {
+        m_log.write(log_part::agent, concat("Refused a start. ", taskText(event.order.id), " entry=", event.from.value, " reason=", reasonText(why)));
+    }
+    m_actions->push_back(answer_start{
+        .call = event.call, .id = event.order.id, .outcome = {.verdict = task_verdict::notStarted, .why = why, .body = {}, .runTime = {}}, .credits = credits});
+}
+
+// Returns what is known about the task. A task without a record gets a tombstone first, so that a late start is refused.
+void agent_core_private::onRevoke(const revoke_received &event)
+{
+    held_task held = m_ledger.held(event.id);
+    if (held.state == held_state::notStarted && m_ledger.isFenced(event.id.ticket)) {
+        held.outcome.why = reason::outcomeUnknown;
+    } else if (m_ledger.find(event.id) == nullptr && !m_ledger.recordTombstone(event.id, m_now)) {
+        // Without a tombstone a late start could run; "running" makes the entry ask again.
+        held.state = held_state::running;
+    }
+    if (m_log.isEnabled()) {
+        m_log.write(log_part::agent,
+                    concat("Answered a revocation. ", taskText(event.id), " entry=", event.from.value, " state=", static_cast<int>(held.state)));
+    }
+    m_actions->push_back(answer_revoke{.call = event.call, .held = std::move(held)});
+}
+
+void agent_core_private::onFence(const fence_received &event)
+{
+    std::vector<held_task> held = m_ledger.heldOf(event.ticket);
+    if (!m_ledger.fence(event.ticket, m_now)) {
+        // A ticket that could not be fenced must not look complete or idle; the entry asks again.
+        held.push_back({.id = {.ticket = event.ticket, .index = 0}, .state = held_state::running, .outcome = {}});
+    }
+    if (m_log.isEnabled()) {
+        m_log.write(log_part::agent, concat("Fenced a ticket. ", ticketText(event.ticket), " entry=", event.from.value, " held=", held.size()));
+    }
+    m_actions->push_back(answer_fence{.call = event.call, .held = std::move(held)});
+}
+
+void agent_core_private::onDemand(const demand_received &event)
+{
+    grant(m_credits.setDemand(event.from, event.queued, m_now), nullptr);
+}
+
+// Records the outcome, frees the slot and answers everyone who waits. The first answer carries the credits.
+void agent_core_private::onCallFinished(const call_finished &event)
+{
+    const auto found = m_running.find(event.id);
+    if (found == m_running.end()) {
+        return;
+    }
+    const std::vector<waiting_call> calls = std::move(found->second);
+    m_running.erase(found);
+    m_ledger.recordOutcome(event.id, event.outcome, m_now);
+    const waiting_call &first = calls.front();
+    const bool isSameSession = first.session == m_sessions.current(first.from);
+    std::int32_t credits = grant(m_credits.release(first.from, m_now), isSameSession ? &first.from : nullptr);
+    if (m_log.isEnabled()) {
+        m_log.write(log_part::agent,
+                    concat("A task ended. ",
+                           taskText(event.id),
+                           " verdict=",
+                           static_cast<int>(event.outcome.verdict),
+                           " reason=",
+                           reasonText(event.outcome.why),
+                           " run_us=",
+                           event.outcome.runTime.count()));
+    }
+    for (const waiting_call &one : calls) {
+        m_actions->push_back(answer_start{.call = one.call, .id = event.id, .outcome = event.outcome, .credits = credits});
+        credits = UntakenCredit;
+    }
+}
+
+void agent_core_private::onEntryJoined(const entry_joined &event)
+{
+    m_sessions.begin(event.info.id);
+    grant(m_credits.join(event.info.id, m_now), nullptr);
+}
+
+void agent_core_private::onEntryLost(const entry_lost &event)
+{
+    m_sessions.end(event.entry);
+    grant(m_credits.lose(event.entry, m_now), nullptr);
+}
+
+void agent_core_private::onTimer(const agent_timer_fired & /*event*/)
+{
+}
+
+void agent_core_private::onDrainStarted(const agent_drain_started &event)
+{
+    if (m_drainEnd) {
+        return;
+    }
+    m_drainEnd = m_now + event.bound;
+    m_credits.close();
+    m_actions->push_back(announce_leaving{});
+    if (m_log.isEnabled()) {
+        m_log.write(log_part::agent, concat("Leaving. running=", m_running.size(), " bound_ms=", event.bound.count()));
+    }
+}
+
+// Sends changes of credits, except those of the entry that is being answered: they are returned and travel with the answer.
+std::int32_t agent_core_private::grant(const std::vector<credit_grant> &grants, const entry_id *answered)
+{
+    std::int32_t piggybacked = 0;
+    for (const credit_grant &one : grants) {
+        if (answered != nullptr && one.entry == *answered) {
+            piggybacked += one.delta;
+        } else {
+            m_actions->push_back(grant_credits{.entry = one.entry, .delta = one.delta});
+        }
+    }
+    return piggybacked;
+}
+
+// Ends the drain once, when no call is in progress or the bound has passed.
+void agent_core_private::finishDrainIfIdle()
+{
+    if (!m_drainEnd || m_isDrained || (!m_running.empty() && m_now < *m_drainEnd)) {
+        return;
+    }
+    m_isDrained = true;
+    m_actions->push_back(finish_agent_drain{});
+}
+
+} // namespace teaselward::detail
--- /dev/null
+++ b/src/agent/agent_core_private.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "agent/agent_action.h"
+#include "agent/agent_core_settings.h"
+#include "agent/agent_event.h"
+#include "agent/ledger.h"
+#include "agent/session_table.h"
+#include "agent/waiting_call.h"
+#include "base/clock.h"
+#include "log/decision_log.h"
+#include "place/credit_allocator.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace teaselward::detail
+{
+
+/** State and event handlers of agent_core. */
+class agent_core_private
+{
+public:
+    agent_core_private(const agent_core_settings &settings, decision_log &log);
+
+    void handle(const agent_event &event, mono_time now, std::vector<agent_action> &actions);
+    mono_time nextDue() const;
+
+private:
+    using handler = void (agent_core_private::*)(const agent_event &);
+
+    template<auto Member, typename Event>
+    void call(const agent_event &event);
+
+    void onStart(const start_received &event);
+    void onRevoke(const revoke_received &event);
+    void onFence(const fence_received &event);
+    void onDemand(const demand_received &event);
+    void onCallFinished(const call_finished &event);
+    void onEntryJoined(const entry_joined &event);
+    void onEntryLost(const entry_lost &event);
+    void onTimer(const agent_timer_fired &event);
+    void onDrainStarted(const agent_drain_started &event);
+
+    void answerKnownStart(const start_received &event, const ledger_record &record);
+    void refuseStart(const start_received &event, reason why, std::int32_t credits);
+    std::int32_t grant(const std::vector<credit_grant> &grants, const entry_id *answered);
+    void finishDrainIfIdle();
+
+    decision_log &m_log;
+    ledger m_ledger;
+    credit_allocator m_credits;
+    session_table m_sessions;
+    absl::flat_hash_map<task_id, std::vector<waiting_call>> m_running; ///< Calls in progress and who waits for them.
+    std::optional<mono_time> m_drainEnd; ///< Set while the agent is leaving.
+    bool m_isDrained = false;
+    mono_time m_now{}; ///< Time of the event in progress.
+    std::vector<agent_action> *m_actions = nullptr; ///< Receiver of the event in progress.
+};
+
+} // namespace teaselward::detail
--- a/src/agent/agent_core_settings.h
+++ b/src/agent/agent_core_settings.h
@@ -3,6 +3,7 @@
 #include "core/agent_info.h"
 
 #include <chrono>
+#include <cstdint>
 
 namespace teaselward
 {
@@ -11,6 +12,8 @@
 struct agent_core_settings {
     agent_info self;
     std::chrono::milliseconds retention = std::chrono::minutes(15); ///< Time that a record is kept; longer than the lifetime of a ticket and the longest job.
+    std::uint32_t maxRecords = 96 * 1024; ///< Starts and tombstones kept; further starts are refused.
+    std::uint64_t maxResultBytes = 8ULL * 1024 * 1024; ///< Size of all kept results; further starts are refused.
 };
 
 } // namespace teaselward
--- /dev/null
+++ b/src/agent/ledger.cpp
@@ -0,0 +1,180 @@
+#include "agent/ledger.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Tombstones and fences may exceed the limit of the records by this factor, since they keep a task from starting twice.
+constexpr std::size_t ReserveFactor = 2;
+
+// Records are dropped in batches, so that an idle agent is not woken for each of them.
+constexpr std::chrono::seconds ExpirySlack{1};
+
+// Outcome that stands for a task that has not started and never will.
+task_outcome notStartedOutcome()
+{
+    task_outcome outcome;
+    outcome.verdict = task_verdict::notStarted;
+    return outcome;
+}
+
+} // namespace
+
+ledger::ledger(std::chrono::milliseconds retention, std::uint32_t maxRecords, std::uint64_t maxResultBytes)
+    : m_retention(retention)
+    , m_maxRecords(maxRecords)
+    , m_maxResultBytes(maxResultBytes)
+{
+}
+
+const ledger_record *ledger::find(const task_id &id) const
+{
+    const auto ticket = m_tickets.find(id.ticket);
+    if (ticket == m_tickets.end()) {
+        return nullptr;
+    }
+    const auto &records = ticket->second.records;
+    const auto found = std::ranges::find(records, id.index, &ledger_record::index);
+    return found == records.end() ? nullptr : &*found;
+}
+
+// The same search for members that change the record.
+ledger_record *ledger::findRecord(const task_id &id)
+{
+    return const_cast<ledger_record *>(find(id));
+}
+
+bool ledger::isFenced(const ticket_id &ticket) const
+{
+    const auto found = m_tickets.find(ticket);
+    return found != m_tickets.end() && found->second.isFenced;
+}
+
+bool ledger::hasRoom() const
+{
+    return m_records < m_maxRecords && m_resultBytes < m_maxResultBytes;
+}
+
+// Tells whether a tombstone or a fence can still be recorded.
+bool ledger::hasReserve() const
+{
+    return m_records < m_maxRecords * ReserveFactor;
+}
+
+void ledger::recordStart(const task_id &id)
+{
+    m_tickets[id.ticket].records.push_back({.index = id.index, .state = held_state::running, .outcome = {}});
+    ++m_records;
+}
+
+void ledger::recordOutcome(const task_id &id, const task_outcome &outcome, mono_time now)
+{
+    ledger_record *record = findRecord(id);
+    if (record == nullptr || record->state != held_state::running) {
+        return;
+    }
+    record->state = outcome.verdict == task_verdict::notStarted ? held_state::notStarted : held_state::finished;
+    record->outcome = outcome;
+    m_resultBytes += outcome.body.size();
+    keepUntilExpiry(id, false, now);
+}
+
+bool ledger::recordTombstone(const task_id &id, mono_time now)
+{
+    if (!hasReserve()) {
+        return false;
+    }
+    m_tickets[id.ticket].records.push_back({.index = id.index, .state = held_state::notStarted, .outcome = notStartedOutcome()});
+    ++m_records;
+    keepUntilExpiry(id, false, now);
+    return true;
+}
+
+bool ledger::fence(const ticket_id &ticket, mono_time now)
+{
+    if (isFenced(ticket)) {
+        return true;
+    }
+    if (!hasReserve()) {
+        return false;
+    }
+    m_tickets[ticket].isFenced = true;
+    ++m_records;
+    keepUntilExpiry({.ticket = ticket, .index = 0}, true, now);
+    return true;
+}
+
+held_task ledger::held(const task_id &id) const
+{
+    const ledger_record *record = find(id);
+    if (record == nullptr) {
+        return {.id = id, .state = held_state::notStarted, .outcome = notStartedOutcome()};
+    }
+    return {.id = id, .state = record->state, .outcome = record->outcome};
+}
+
+std::vector<held_task> ledger::heldOf(const ticket_id &ticket) const
+{
+    std::vector<held_task> all;
+    const auto found = m_tickets.find(ticket);
+    if (found != m_tickets.end()) {
+        all.reserve(found->second.records.size());
+        for (const ledger_record &record : found->second.records) {
+            all.push_back({.id = {.ticket = ticket, .index = record.index}, .state = record.state, .outcome = record.outcome});
+        }
+    }
+    return all;
+}
+
+// Starts the retention of a record or a fence.
+void ledger::keepUntilExpiry(const task_id &id, bool isFence, mono_time now)
+{
+    m_expiries.push_back({.due = now + m_retention, .id = id, .isFence = isFence});
+}
+
+void ledger::expire(mono_time now)
+{
+    while (!m_expiries.empty() && m_expiries.front().due <= now) {
+        drop(m_expiries.front());
+        m_expiries.pop_front();
+    }
+}
+
+// Removes one record or fence, and its ticket if nothing else is known about it.
+void ledger::drop(const ledger_expiry &entry)
+{
+    const auto ticket = m_tickets.find(entry.id.ticket);
+    if (ticket == m_tickets.end()) {
+        return;
+    }
+    auto &records = ticket->second.records;
+    if (entry.isFence) {
+        ticket->second.isFenced = false;
+        --m_records;
+    } else if (const auto found = std::ranges::find(records, entry.id.index, &ledger_record::index); found != records.end()) {
+        m_resultBytes -= found->outcome.body.size();
+        *found = std::move(records.back());
+        records.pop_back();
+        --m_records;
+    }
+    if (records.empty() && !ticket->second.isFenced) {
+        m_tickets.erase(ticket);
+    }
+}
+
+mono_time ledger::nextDue() const
+{
+    return m_expiries.empty() ? mono_time::max() : m_expiries.front().due + ExpirySlack;
+}
+
+std::size_t ledger::size() const
+{
+    return m_records;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/agent/ledger_record.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/held_state.h"
+#include "core/task_outcome.h"
+
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** What the ledger keeps about one task of a ticket. */
+struct ledger_record {
+    std::uint32_t index = 0; ///< Position of the task in its job.
+    held_state state = held_state::notStarted;
+    task_outcome outcome; ///< Set if the state is finished; for a tombstone the reason why it was not started.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/agent/session_table.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/entry_id.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** Numbers the registrations of an agent at the entries, so that an answer to a lost connection carries no credits. */
+class session_table
+{
+public:
+    /**
+     * Begins a registration.
+     * @param entry the entry
+     */
+    void begin(const entry_id &entry)
+    {
+        m_sessions[entry] = ++m_last;
+    }
+
+    /**
+     * Ends the registration of an entry whose connection is lost.
+     * @param entry the entry
+     */
+    void end(const entry_id &entry)
+    {
+        m_sessions.erase(entry);
+    }
+
+    /**
+     * Finds the present registration.
+     * @param entry the entry
+     * @return its number, or zero if the entry is not connected
+     */
+    std::uint64_t current(const entry_id &entry) const
+    {
+        const auto found = m_sessions.find(entry);
+        return found == m_sessions.end() ? 0 : found->second;
+    }
+
+private:
+    absl::flat_hash_map<entry_id, std::uint64_t> m_sessions;
+    std::uint64_t m_last = 0;
+};
+
+} // namespace teaselward
