--- /dev/null
+++ b/src/job/demand_sender.cpp
@@ -0,0 +1,48 @@
+#include "job/demand_sender.h"
+
+#include <algorithm>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// A start that has just left told its agent the demand; 20 ms cover its answer over any link of the region.
+constexpr std::chrono::milliseconds FirstInterval{20};
+
+// While all slots are busy for long, one message a second keeps the agents informed.
+constexpr std::chrono::milliseconds LastInterval{1000};
+
+} // namespace
+
+demand_sender::demand_sender(entry_context &context)
+    : m_context(context)
+    , m_interval(FirstInterval)
+    , m_due(context.start)
+{
+}
+
+void demand_sender::update(std::size_t placed, agent_directory &agents)
+{
+    if (placed > 0) {
+        m_interval = FirstInterval;
+        m_due = m_context.now + m_interval;
+        return;
+    }
+    if (m_context.queue.size() == 0 || m_context.now < m_due) {
+        return;
+    }
+    if (const auto agent = agents.nextConnected(); agent) {
+        m_context.actions->push_back(send_demand{.agent = *agent, .queued = static_cast<std::uint32_t>(m_context.queue.size())});
+    }
+    m_due = m_context.now + m_interval;
+    m_interval = std::min(m_interval * 2, LastInterval);
+}
+
+mono_time demand_sender::nextDue() const
+{
+    return m_context.queue.size() == 0 ? mono_time::max() : m_due;
+}
+
+} // namespace teaselward
--- a/src/job/entry_core_settings.h
+++ b/src/job/entry_core_settings.h
@@ -19,6 +19,8 @@
     std::uint32_t ticketBatch = 1000; ///< Most tickets of one request.
     std::string strategy = "credits"; ///< Name in the table of placement strategies.
     std::uint64_t seed = 1; ///< Seed of the random numbers.
+    std::uint32_t maxJobs = 64 * 1024; ///< Jobs running or kept; further ones are refused.
+    std::uint64_t maxJobBytes = 12ULL * 1024 * 1024; ///< Size of all payloads and kept answers; further jobs are refused.
 };
 
 } // namespace teaselward
--- /dev/null
+++ b/src/job/job_record.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "base/clock.h"
+#include "job/job_waiter.h"
+#include "job/request_digest.h"
+#include "job/task_record.h"
+#include "job/timer_queue.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Job that is not yet answered. */
+struct job_record {
+    std::uint64_t sequence = 0; ///< Sequence of its ticket.
+    request_digest digest{};
+    mono_time deadline{};
+    timer_queue<std::uint64_t>::handle deadlineTimer;
+    std::vector<task_record> tasks;
+    std::size_t unfinished = 0; ///< Tasks without a result.
+    std::size_t queued = 0; ///< Tasks in the queue.
+    std::size_t started = 0; ///< Tasks that may have been started; zero means "not run".
+    std::size_t ambiguous = 0; ///< Placed tasks that may or may not have been started.
+    std::vector<job_waiter> waiters;
+    std::vector<std::uint64_t> joined; ///< Sequences of the tickets that a client key joined to this job.
+    std::size_t bytes = 0; ///< Size of the payloads.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/job_table.cpp
@@ -0,0 +1,119 @@
+#include "job/job_table.h"
+
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Answers are dropped in batches, so that an idle entry is not woken for each of them.
+constexpr std::chrono::seconds ExpirySlack{1};
+
+} // namespace
+
+job_table::job_table(std::chrono::milliseconds lifetime, std::uint32_t maxJobs, std::uint64_t maxBytes)
+    : m_lifetime(lifetime)
+    , m_maxJobs(maxJobs)
+    , m_maxBytes(maxBytes)
+{
+}
+
+bool job_table::hasRoom() const
+{
+    return m_running.size() + m_joined.size() + m_kept.size() < m_maxJobs && m_bytes < m_maxBytes;
+}
+
+job_record &job_table::add(std::unique_ptr<job_record> job)
+{
+    m_bytes += job->bytes;
+    return *(m_running[job->sequence] = std::move(job));
+}
+
+job_record *job_table::findRunning(std::uint64_t sequence)
+{
+    const auto found = m_running.find(sequence);
+    return found == m_running.end() ? nullptr : found->second.get();
+}
+
+const kept_job *job_table::findKept(std::uint64_t sequence) const
+{
+    const auto found = m_kept.find(sequence);
+    return found == m_kept.end() ? nullptr : &found->second;
+}
+
+const joined_ticket *job_table::findJoined(std::uint64_t sequence) const
+{
+    const auto found = m_joined.find(sequence);
+    return found == m_joined.end() ? nullptr : &found->second;
+}
+
+void job_table::join(std::uint64_t sequence, const request_digest &digest, std::uint64_t target, mono_time now)
+{
+    if (job_record *job = findRunning(target); job != nullptr) {
+        job->joined.push_back(sequence);
+        m_joined[sequence] = {.digest = digest, .target = target};
+    } else if (const kept_job *kept = findKept(target); kept != nullptr) {
+        keep(sequence, {.digest = digest, .answer = kept->answer}, now);
+    }
+}
+
+void job_table::settle(std::uint64_t sequence, const job_answer &answer, mono_time now)
+{
+    const auto found = m_running.find(sequence);
+    if (found == m_running.end()) {
+        return;
+    }
+    const std::unique_ptr<job_record> job = std::move(found->second);
+    m_running.erase(found);
+    m_bytes -= job->bytes;
+    const auto packed = std::make_shared<const kept_answer>(answer);
+    keep(sequence, {.digest = job->digest, .answer = packed}, now);
+    for (const std::uint64_t joined : job->joined) {
+        const auto ticket = m_joined.find(joined);
+        keep(joined, {.digest = ticket->second.digest, .answer = packed}, now);
+        m_joined.erase(ticket);
+    }
+}
+
+// Keeps an answer for the lifetime of a ticket.
+void job_table::keep(std::uint64_t sequence, kept_job job, mono_time now)
+{
+    m_bytes += job.answer->size();
+    m_kept[sequence] = std::move(job);
+    m_expiries.push_back({.due = now + m_lifetime, .sequence = sequence});
+}
+
+void job_table::expire(mono_time now)
+{
+    while (!m_expiries.empty() && m_expiries.front().due <= now) {
+        const auto found = m_kept.find(m_expiries.front().sequence);
+        m_bytes -= found->second.answer->size();
+        m_keys.remove(found->first);
+        m_kept.erase(found);
+        m_expiries.pop_front();
+    }
+}
+
+mono_time job_table::nextDue() const
+{
+    return m_expiries.empty() ? mono_time::max() : m_expiries.front().due + ExpirySlack;
+}
+
+key_index &job_table::keys()
+{
+    return m_keys;
+}
+
+std::size_t job_table::runningCount() const
+{
+    return m_running.size();
+}
+
+std::size_t job_table::keptCount() const
+{
+    return m_kept.size();
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/job_table.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "base/clock.h"
+#include "job/job_expiry.h"
+#include "job/job_record.h"
+#include "job/joined_ticket.h"
+#include "job/kept_job.h"
+#include "job/key_index.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+
+namespace teaselward
+{
+
+/** Jobs of the tickets that this incarnation issued: running ones, and answered ones until the lifetime has passed. */
+class job_table
+{
+public:
+    /**
+     * Creates an empty table.
+     * @param lifetime time that answers are kept
+     * @param maxJobs number of jobs at which hasRoom() turns false
+     * @param maxBytes size of payloads and answers at which hasRoom() turns false
+     */
+    job_table(std::chrono::milliseconds lifetime, std::uint32_t maxJobs, std::uint64_t maxBytes);
+
+    /** @return whether a further job can be kept */
+    bool hasRoom() const;
+
+    /**
+     * Adds a running job.
+     * @param job the job
+     * @return the job, valid until settle()
+     */
+    job_record &add(std::unique_ptr<job_record> job);
+
+    /**
+     * Finds a running job.
+     * @param sequence sequence of its own ticket
+     * @return the job, or null
+     */
+    job_record *findRunning(std::uint64_t sequence);
+
+    /**
+     * Finds an answered job.
+     * @param sequence sequence of its ticket or of a joined one
+     * @return the job, or null
+     */
+    const kept_job *findKept(std::uint64_t sequence) const;
+
+    /**
+     * Finds a ticket that was joined to a running job.
+     * @param sequence sequence of the joined ticket
+     * @return what is known about it, or null
+     */
+    const joined_ticket *findJoined(std::uint64_t sequence) const;
+
+    /**
+     * Joins a ticket to the job of another one, running or answered.
+     * @param sequence sequence of the ticket
+     * @param digest digest of its submission
+     * @param target sequence of the ticket of the job
+     * @param now present time
+     */
+    void join(std::uint64_t sequence, const request_digest &digest, std::uint64_t target, mono_time now);
+
+    /**
+     * Replaces a running job by its answer; joined tickets get the same one.
+     * @param sequence sequence of its ticket
+     * @param answer final answer
+     * @param now present time
+     */
+    void settle(std::uint64_t sequence, const job_answer &answer, mono_time now);
+
+    /**
+     * Drops the answers that were kept for the lifetime.
+     * @param now present time
+     */
+    void expire(mono_time now);
+
+    /** @return instant at which expire() is worth a call, or the greatest one if nothing is kept */
+    mono_time nextDue() const;
+
+    /** @return client keys of the jobs */
+    key_index &keys();
+
+    /** @return number of running jobs */
+    std::size_t runningCount() const;
+
+    /** @return number of kept answers */
+    std::size_t keptCount() const;
+
+private:
+    void keep(std::uint64_t sequence, kept_job job, mono_time now);
+
+    std::chrono::milliseconds m_lifetime;
+    std::size_t m_maxJobs;
+    std::uint64_t m_maxBytes;
+    std::uint64_t m_bytes = 0;
+    absl::flat_hash_map<std::uint64_t, std::unique_ptr<job_record>> m_running;
+    absl::flat_hash_map<std::uint64_t, joined_ticket> m_joined;
+    absl::flat_hash_map<std::uint64_t, kept_job> m_kept;
+    std::deque<job_expiry> m_expiries; ///< Ordered by time, since every answer is kept equally long.
+    key_index m_keys;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/quota_exchange.cpp
@@ -0,0 +1,82 @@
+#include "job/quota_exchange.h"
+
+#include <chrono>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// A peer that is gone for so long has been replaced or stopped. If no peer is left, the last number stays, since then this
+// entry may be the one that is cut off.
+constexpr std::chrono::minutes LostPeerCounts{1};
+
+} // namespace
+
+quota_exchange::quota_exchange(entry_context &context)
+    : m_context(context)
+{
+}
+
+void quota_exchange::join(const entry_info &info)
+{
+    if (m_peers.empty()) {
+        m_nextReport = m_context.now + m_context.settings.reportInterval;
+    }
+    m_peers[info.id] = info;
+    setCount(std::max(m_count, m_peers.size() + 1));
+}
+
+void quota_exchange::lose(const entry_id &peer)
+{
+    m_peers.erase(peer);
+    m_lostAt = m_context.now;
+    if (m_peers.empty()) {
+        m_nextReport = mono_time::max();
+    }
+}
+
+void quota_exchange::reported(const entry_id &peer, std::vector<team_usage> usage)
+{
+    m_context.queue.setPeerUsage(peer, std::move(usage), m_context.now);
+}
+
+void quota_exchange::runTimers()
+{
+    if (m_context.now < m_nextReport) {
+        return;
+    }
+    m_nextReport = m_context.now + m_context.settings.reportInterval;
+    m_context.actions->push_back(report_usage{.usage = m_context.queue.takeUsage()});
+    if (m_count > m_peers.size() + 1 && m_context.now - m_lostAt >= LostPeerCounts) {
+        setCount(m_peers.size() + 1);
+    }
+}
+
+mono_time quota_exchange::nextDue() const
+{
+    return m_nextReport;
+}
+
+std::vector<entry_info> quota_exchange::peers() const
+{
+    std::vector<entry_info> all;
+    all.reserve(m_peers.size());
+    for (const auto &[id, info] : m_peers) {
+        all.push_back(info);
+    }
+    return all;
+}
+
+// Tells the queue the number of entries if it changed.
+void quota_exchange::setCount(std::size_t entries)
+{
+    if (entries != m_count) {
+        m_count = entries;
+        m_context.queue.setEntryCount(entries);
+    }
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/refusal.cpp
@@ -0,0 +1,43 @@
+#include "job/refusal.h"
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Tells whether a refusal with this reason proves that no task was started and none will be.
+bool saysNotRun(reason why)
+{
+    switch (why) {
+    case reason::malformed:
+    case reason::tooLarge:
+    case reason::badTicket:
+    case reason::unknownKind:
+    case reason::unknownTeam:
+    case reason::noEndpoint:
+    case reason::quotaExceeded:
+    case reason::queueFull:
+    case reason::overloaded:
+    case reason::deadlineUnreachable:
+    case reason::draining:
+    case reason::kindFailing:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+job_answer refusal(reason why, std::chrono::milliseconds retryAfter)
+{
+    job_answer answer;
+    answer.state = job_state::refused;
+    answer.why = why;
+    answer.notRun = saysNotRun(why);
+    answer.retryAfter = retryAfter;
+    return answer;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/request_forwarder.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "base/clock.h"
+#include "core/job_answer.h"
+#include "core/job_request.h"
+#include "core/request_id.h"
+#include "core/ticket.h"
+#include "job/entry_context.h"
+#include "job/forward_record.h"
+#include "job/home_failures.h"
+#include "job/ticket_recovery.h"
+#include "job/timer_queue.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** Forwards requests to the home entries of their tickets, and turns to the recovery when a home is gone. */
+class request_forwarder
+{
+public:
+    /**
+     * Creates the state without forwarded requests.
+     * @param context what the parts of the entry share
+     * @param recoveries recovery of tickets whose home is gone
+     */
+    request_forwarder(entry_context &context, ticket_recovery &recoveries);
+
+    /**
+     * Forwards a submission.
+     * @param request the request to answer
+     * @param job the submission
+     */
+    void forwardJob(const request_id &request, job_request job);
+
+    /**
+     * Forwards a query.
+     * @param request the request to answer
+     * @param source ticket of the job
+     * @param wait longest time to wait for the final answer
+     */
+    void forwardQuery(const request_id &request, const ticket &source, std::chrono::milliseconds wait);
+
+    /**
+     * Forwards a cancellation.
+     * @param request the request to answer
+     * @param source ticket of the job
+     */
+    void forwardCancel(const request_id &request, const ticket &source);
+
+    /**
+     * Applies the end of a forwarded call.
+     * @param request the request
+     * @param reached whether the home entry gave an answer
+     * @param otherIncarnation whether its address belongs to another incarnation now
+     * @param answer answer of the home entry
+     */
+    void answered(const request_id &request, bool reached, bool otherIncarnation, job_answer answer);
+
+    /** Repeats the calls that are due. */
+    void runTimers();
+
+    /** @return instant of the next timer */
+    mono_time nextDue() const;
+
+    /** @return number of requests without an answer */
+    std::size_t size() const;
+
+private:
+    void forward(const request_id &request, forward_record record);
+    void send(const request_id &request, const forward_record &record);
+    void giveUpOnHome(const request_id &request, const forward_record &record);
+    bool isGone(std::uint64_t incarnation);
+    void reply(const request_id &request, const ticket_id &ticket, job_answer answer);
+
+    entry_context &m_context;
+    ticket_recovery &m_recoveries;
+    absl::flat_hash_map<request_id, forward_record> m_forwards;
+    absl::flat_hash_map<std::uint64_t, home_failures> m_failures; ///< By incarnation of the home.
+    timer_queue<request_id> m_retries;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/task_placer.cpp
@@ -0,0 +1,310 @@
+#include "job/task_placer.h"
+
+#include "core/concat.h"
+#include "core/reason_text.h"
+#include "core/task_text.h"
+
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Refusals of one task after which its job fails; with the delays below this takes some seconds.
+constexpr std::uint32_t MaxPlacements = 12;
+
+// Delays before a refused task is queued again. The first refusal is not delayed: mostly a credit crossed with its return.
+constexpr std::chrono::milliseconds FirstRequeueDelay{10};
+constexpr std::chrono::milliseconds LastRequeueDelay{1000};
+
+// Most doublings between the first and the last delay of revocations.
+constexpr int RevokeDoublings = 5;
+
+// Outcome of a start whose agent can no longer be asked.
+task_outcome unknownOutcome()
+{
+    task_outcome outcome;
+    outcome.verdict = task_verdict::unknown;
+    outcome.why = reason::outcomeUnknown;
+    return outcome;
+}
+
+// Reason that the caller sees when a task ended without a result.
+reason failureReason(const task_outcome &outcome)
+{
+    if (outcome.why == reason::deadlineExceeded) {
+        return reason::deadlineExceeded;
+    }
+    return outcome.verdict == task_verdict::failed ? reason::taskFailed : reason::outcomeUnknown;
+}
+
+} // namespace
+
+task_placer::task_placer(entry_context &context, job_manager &jobs)
+    : m_context(context)
+    , m_jobs(jobs)
+    , m_placeable([this](std::string_view kind) {
+        return m_context.slots.isPlaceable(kind, m_context.now);
+    })
+{
+}
+
+std::size_t task_placer::placeAll()
+{
+    std::size_t placed = 0;
+    while (m_context.queue.size() > 0) {
+        std::optional<queued_task> task = m_context.queue.pop(m_placeable, m_context.now);
+        if (!task) {
+            break;
+        }
+        job_record *job = m_jobs.findRunning(task->id.ticket);
+        if (job == nullptr) {
+            m_context.queue.finish(*task, {.verdict = task_verdict::notStarted, .why = reason::none, .body = {}, .runTime = {}}, m_context.now);
+            continue;
+        }
+        const std::optional<agent_id> agent = m_context.slots.acquire(task->kind, m_context.now);
+        if (!agent) {
+            m_context.queue.putBack(*std::move(task));
+            break;
+        }
+        start(*std::move(task), *agent, *job);
+        ++placed;
+    }
+    return placed;
+}
+
+// Records the placement before the start is sent.
+void task_placer::start(queued_task task, const agent_id &agent, job_record &job)
+{
+    task_record &record = job.tasks.at(task.id.index);
+    record.state = task_state::placed;
+    ++record.placements;
+    --job.queued;
+    ++job.started;
+    if (m_context.log.isEnabled()) {
+        m_context.log.write(log_part::place, concat("Placed a task. ", taskText(task.id), " kind=", task.kind, " agent=", agent.value));
+    }
+    start_task action{.agent = agent, .order = {}};
+    action.order.id = task.id;
+    action.order.kind = task.kind;
+    action.order.team = task.team;
+    action.order.payload = record.payload;
+    action.order.timeLimit = std::chrono::ceil<std::chrono::milliseconds>(job.deadline - m_context.now);
+    action.order.demand = static_cast<std::uint32_t>(m_context.queue.size());
+    m_placements.add({.task = std::move(task), .agent = agent, .state = placement_state::sent, .delays = std::nullopt, .timer = std::nullopt});
+    m_context.actions->push_back(std::move(action));
+}
+
+void task_placer::finished(const agent_id &agent, const task_id &id, task_outcome outcome, std::int32_t credits)
+{
+    const placement *placed = m_placements.find(id);
+    if (placed == nullptr || placed->agent != agent) {
+        if (m_context.log.isEnabled()) {
+            m_context.log.write(log_part::place, concat("Ignored a late answer. ", taskText(id), " agent=", agent.value));
+        }
+        m_context.slots.addCredits(agent, credits);
+        return;
+    }
+    conclude(id, std::move(outcome), credits);
+}
+
+// Ends a placement: frees its slot and passes the outcome to the job, unless the job has been answered meanwhile.
+void task_placer::conclude(const task_id &id, task_outcome outcome, std::int32_t credits)
+{
+    placement placed = m_placements.take(id);
+    if (placed.timer) {
+        m_asks.cancel(*placed.timer);
+    }
+    m_context.slots.release(placed.agent, placed.task.kind, outcome, credits, m_context.now);
+    job_record *job = m_jobs.findRunning(id.ticket);
+    if (job != nullptr && placed.state == placement_state::ambiguous) {
+        --job->ambiguous;
+    }
+    if (job != nullptr && outcome.verdict == task_verdict::notStarted && outcome.why != reason::outcomeUnknown) {
+        putBack(std::move(placed.task), outcome, *job);
+        return;
+    }
+    m_context.queue.finish(placed.task, outcome, m_context.now);
+    if (job == nullptr) {
+        return;
+    }
+    if (outcome.verdict == task_verdict::succeeded) {
+        m_jobs.finishTask(*job, id.index, std::move(outcome.body));
+    } else {
+        // A fenced agent refuses a start with outcomeUnknown: another entry has answered for this ticket.
+        m_jobs.fail(*job, failureReason(outcome));
+    }
+}
+
+// Returns a task that was not started to the queue, or fails its job after too many refusals.
+void task_placer::putBack(queued_task task, const task_outcome &outcome, job_record &job)
+{
+    task_record &record = job.tasks.at(task.id.index);
+    --job.started;
+    if (m_context.log.isEnabled()) {
+        m_context.log.write(log_part::place,
+                            concat("Took back a task. ", taskText(task.id), " reason=", reasonText(outcome.why), " placements=", record.placements));
+    }
+    if (record.placements >= MaxPlacements) {
+        m_context.queue.finish(task, outcome, m_context.now);
+        m_jobs.fail(job, reason::noEndpoint);
+        return;
+    }
+    record.state = task_state::delayed;
+    if (record.placements == 1) {
+        requeue(std::move(task));
+        return;
+    }
+    const auto step = std::min(FirstRequeueDelay * (1U << (record.placements - 2)), LastRequeueDelay);
+    const auto delay = backoff(step, step).next(m_context.random);
+    m_delayed.schedule(m_context.now + delay, std::move(task));
+}
+
+// Puts a task back into the queue, unless its job has been answered meanwhile.
+void task_placer::requeue(queued_task task)
+{
+    job_record *job = m_jobs.findRunning(task.id.ticket);
+    if (job == nullptr) {
+        m_context.queue.finish(task, {.verdict = task_verdict::notStarted, .why = reason::none, .body = {}, .runTime = {}}, m_context.now);
+        return;
+    }
+    job->tasks.at(task.id.index).state = task_state::queued;
+    ++job->queued;
+    m_context.queue.putBack(std::move(task));
+}
+
+void task_placer::unanswered(const agent_id &agent, const task_id &id)
+{
+    placement *placed = m_placements.find(id);
+    if (placed != nullptr && placed->agent == agent && placed->state == placement_state::sent) {
+        makeAmbiguous(*placed);
+        ask(id);
+    }
+}
+
+// Marks a start whose answer is lost.
+void task_placer::makeAmbiguous(placement &placed)
+{
+    if (placed.state != placement_state::sent) {
+        return;
+    }
+    placed.state = placement_state::ambiguous;
+    placed.delays.emplace(m_context.settings.revokeRetry, m_context.settings.revokeRetry * (1 << RevokeDoublings));
+    if (job_record *job = m_jobs.findRunning(placed.task.id.ticket); job != nullptr) {
+        ++job->ambiguous;
+    }
+}
+
+// Sets the next time that the outcome is asked for.
+void task_placer::askAfter(placement &placed, std::chrono::milliseconds delay)
+{
+    if (placed.timer) {
+        m_asks.cancel(*placed.timer);
+    }
+    placed.timer = m_asks.schedule(m_context.now + delay, placed.task.id);
+}
+
+// Asks an agent for the fate of a start. Nobody waits for it once the job has been answered, so it is given up then.
+void task_placer::ask(const task_id &id)
+{
+    placement *placed = m_placements.find(id);
+    if (m_jobs.findRunning(id.ticket) == nullptr) {
+        conclude(id, unknownOutcome(), 0);
+        return;
+    }
+    if (m_context.log.isEnabled()) {
+        m_context.log.write(log_part::place, concat("Revoked a start. ", taskText(id), " agent=", placed->agent.value));
+    }
+    m_context.actions->push_back(revoke_task{.agent = placed->agent, .id = id, .delay = {}});
+    askAfter(*placed, placed->delays->next(m_context.random));
+}
+
+void task_placer::revoked(const agent_id &agent, held_task held)
+{
+    placement *placed = m_placements.find(held.id);
+    if (placed == nullptr || placed->agent != agent || placed->state == placement_state::sent) {
+        return;
+    }
+    switch (held.state) {
+    case held_state::notStarted:
+        held.outcome.verdict = task_verdict::notStarted;
+        conclude(held.id, std::move(held.outcome), 0);
+        break;
+    case held_state::finished:
+        conclude(held.id, std::move(held.outcome), 0);
+        break;
+    case held_state::running:
+        if (placed->state == placement_state::ambiguous) {
+            placed->state = placement_state::running;
+            placed->delays.emplace(m_context.settings.revokeRetry, m_context.settings.revokeRetry * (1 << RevokeDoublings));
+            if (job_record *job = m_jobs.findRunning(held.id.ticket); job != nullptr) {
+                --job->ambiguous;
+            }
+            askAfter(*placed, placed->delays->next(m_context.random));
+        }
+        break;
+    }
+}
+
+void task_placer::connectionLost(const agent_id &agent)
+{
+    for (const task_id &id : m_placements.tasksAt(agent)) {
+        placement &placed = *m_placements.find(id);
+        if (placed.state == placement_state::sent) {
+            makeAmbiguous(placed);
+            askAfter(placed, placed.delays->next(m_context.random));
+        }
+    }
+}
+
+void task_placer::connectionRestored(const agent_id &agent)
+{
+    for (const task_id &id : m_placements.tasksAt(agent)) {
+        makeAmbiguous(*m_placements.find(id));
+        ask(id);
+    }
+}
+
+void task_placer::incarnationGone(const agent_id &agent)
+{
+    for (const task_id &id : m_placements.tasksAt(agent)) {
+        conclude(id, unknownOutcome(), 0);
+    }
+}
+
+// The answers may only wait in the ring behind this event, so settled jobs keep their placements.
+void task_placer::sessionsLapsed()
+{
+    for (const task_id &id : m_placements.tasks()) {
+        placement &placed = *m_placements.find(id);
+        if (placed.state == placement_state::sent && m_jobs.findRunning(id.ticket) != nullptr) {
+            makeAmbiguous(placed);
+            askAfter(placed, placed.delays->next(m_context.random));
+        }
+    }
+}
+
+void task_placer::runTimers()
+{
+    while (const auto id = m_asks.takeDue(m_context.now)) {
+        m_placements.find(*id)->timer.reset();
+        ask(*id);
+    }
+    while (auto task = m_delayed.takeDue(m_context.now)) {
+        requeue(*std::move(task));
+    }
+}
+
+mono_time task_placer::nextDue() const
+{
+    return std::min(m_asks.nextDue(), m_delayed.nextDue());
+}
+
+std::size_t task_placer::outstanding() const
+{
+    return m_placements.size();
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/task_record.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "job/task_state.h"
+
+#include <cstdint>
+#include <string>
+
+namespace teaselward
+{
+
+/** One task of a running job. */
+struct task_record {
+    task_state state = task_state::queued;
+    std::uint32_t placements = 0; ///< Times that the task was sent to an agent.
+    std::string payload; ///< Released once the task cannot be placed again.
+    std::string result; ///< Set if the task succeeded.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/ticket_book.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "base/clock.h"
+#include "core/entry_info.h"
+#include "core/reason.h"
+#include "core/ticket.h"
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Issues the tickets of one entry incarnation and checks them. It keeps nothing about the tickets that it issued. */
+class ticket_book
+{
+public:
+    /**
+     * Creates a book without issued tickets.
+     * @param self the home of the tickets
+     * @param lifetime time after which a ticket no longer starts a job
+     * @param start time to which issue times are relative
+     */
+    ticket_book(const entry_info &self, std::chrono::milliseconds lifetime, mono_time start);
+
+    /**
+     * Issues tickets.
+     * @param count number of tickets
+     * @param now present time
+     */
+    std::vector<ticket> issue(std::uint32_t count, mono_time now);
+
+    /**
+     * Tells whether this incarnation is the home of a ticket.
+     * @param source the ticket
+     */
+    bool isHome(const ticket &source) const;
+
+    /**
+     * Checks a ticket of this incarnation.
+     * @param source the ticket
+     * @param now present time
+     * @return none, badTicket if it was never issued, or ticketExpired
+     */
+    reason check(const ticket &source, mono_time now) const;
+
+private:
+    entry_info m_self;
+    std::chrono::milliseconds m_lifetime;
+    mono_time m_start;
+    std::uint64_t m_nextSequence = 1;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/ticket_recovery.cpp
@@ -0,0 +1,269 @@
+#include "job/ticket_recovery.h"
+
+#include "core/concat.h"
+#include "core/reason_text.h"
+#include "core/task_text.h"
+#include "job/refusal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// A recovery sends one message to every agent; more at once would flood the agents when an entry dies.
+constexpr std::size_t MaxRecoveries = 256;
+
+// Time after which a caller may try again while the recovery is not possible.
+constexpr std::chrono::milliseconds RecoveryRetry{1000};
+
+// Deadline of a recovery if neither the submission nor the rules name one.
+constexpr std::chrono::milliseconds DefaultDeadline{10000};
+
+// Longest delay between two fences of one ticket, in first delays.
+constexpr int DelayGrowth = 32;
+
+// Recovered answers are few; they may use this part of the memory for answers.
+constexpr std::uint64_t MemoryPart = 4;
+
+} // namespace
+
+ticket_recovery::ticket_recovery(entry_context &context)
+    : m_context(context)
+    , m_recovered(context.settings.ticketLifetime, context.settings.maxJobBytes / MemoryPart)
+{
+}
+
+void ticket_recovery::recover(const request_id &request, const job_request &job)
+{
+    const ticket_id &ticket = job.source.id;
+    const request_digest digest = digestOf(job);
+    if (const recovered_job *kept = m_recovered.find(ticket); kept != nullptr) {
+        reply(request, ticket, kept->digest == digest ? kept->answer.unpack() : refusal(reason::ticketReused));
+        return;
+    }
+    if (const auto found = m_recoveries.find(ticket); found != m_recoveries.end()) {
+        if (found->second->digest == digest) {
+            found->second->waiters.push_back(request);
+        } else {
+            reply(request, ticket, refusal(reason::ticketReused));
+        }
+        return;
+    }
+    const std::vector<agent_id> agents = m_context.slots.agents();
+    if (agents.empty() || job.payloads.empty() || m_recoveries.size() >= MaxRecoveries || !m_recovered.hasRoom()) {
+        reply(request, ticket, refusal(job.payloads.empty() ? reason::malformed : reason::homeUnreachable, RecoveryRetry));
+        return;
+    }
+    create(request, job, digest, agents);
+}
+
+// Starts a recovery with a fence to every known agent.
+void ticket_recovery::create(const request_id &request, const job_request &job, const request_digest &digest, const std::vector<agent_id> &agents)
+{
+    const ticket_id &ticket = job.source.id;
+    const auto first = m_context.settings.revokeRetry;
+    auto created = std::make_unique<recovery>(ticket, backoff(first, first * DelayGrowth));
+    std::chrono::milliseconds limit = job.timeLimit;
+    if (limit.count() <= 0) {
+        const bool isKnown = m_context.rules && m_context.rules->kinds.contains(job.kind);
+        limit = isKnown ? m_context.rules->kinds.find(job.kind)->second.timeLimit : DefaultDeadline;
+    }
+    created->digest = digest;
+    created->deadline = m_context.now + limit;
+    created->timer = m_timers.schedule(created->deadline, ticket);
+    created->waiters.push_back(request);
+    created->results.resize(job.payloads.size());
+    created->missing = job.payloads.size();
+    if (m_context.log.isEnabled()) {
+        m_context.log.write(log_part::route, concat("Fencing a ticket whose home is gone. ", ticketText(ticket), " agents=", agents.size()));
+    }
+    recovery &added = *(m_recoveries[ticket] = std::move(created));
+    for (const agent_id &agent : agents) {
+        fence(added, agent);
+    }
+}
+
+bool ticket_recovery::answer(const request_id &request, const ticket_id &ticket)
+{
+    if (const recovered_job *kept = m_recovered.find(ticket); kept != nullptr) {
+        reply(request, ticket, kept->answer.unpack());
+        return true;
+    }
+    if (m_recoveries.contains(ticket)) {
+        job_answer running;
+        running.state = job_state::running;
+        reply(request, ticket, std::move(running));
+        return true;
+    }
+    return false;
+}
+
+bool ticket_recovery::isKnown(const ticket_id &ticket) const
+{
+    return m_recoveries.contains(ticket) || m_recovered.find(ticket) != nullptr;
+}
+
+// Sends a fence to one agent.
+void ticket_recovery::fence(recovery &found, const agent_id &agent)
+{
+    found.pending[agent] = fence_state::asked;
+    m_context.actions->push_back(fence_ticket{.agent = agent, .ticket = found.ticket});
+}
+
+void ticket_recovery::fenced(const agent_id &agent, const ticket_id &ticket, bool answered, std::vector<held_task> held)
+{
+    const auto found = m_recoveries.find(ticket);
+    if (found == m_recoveries.end() || !found->second->pending.contains(agent)) {
+        return;
+    }
+    recovery &one = *found->second;
+    const bool isRunning = std::ranges::any_of(held, [](const held_task &task) {
+        return task.state == held_state::running;
+    });
+    if (answered && !collect(one, std::move(held))) {
+        fail(one, reason::taskFailed);
+        return;
+    }
+    if (answered && !isRunning) {
+        one.pending.erase(agent);
+    } else {
+        one.pending[agent] = fence_state::askAgain;
+        const mono_time next = std::min(one.deadline, m_context.now + one.delays.next(m_context.random));
+        m_timers.cancel(one.timer);
+        one.timer = m_timers.schedule(next, ticket);
+    }
+    settleIfDecided(one);
+}
+
+// Takes the results that an agent holds; returns false if it holds the failure of a task.
+bool ticket_recovery::collect(recovery &found, std::vector<held_task> held)
+{
+    for (held_task &task : held) {
+        if (task.state != held_state::finished || task.id.index >= found.results.size()) {
+            continue;
+        }
+        if (task.outcome.verdict == task_verdict::failed) {
+            return false;
+        }
+        std::optional<std::string> &result = found.results[task.id.index];
+        if (task.outcome.verdict == task_verdict::succeeded && !result) {
+            result = std::move(task.outcome.body);
+            --found.missing;
+        }
+    }
+    return true;
+}
+
+// Answers if all results are held, or if no agent can return another one.
+void ticket_recovery::settleIfDecided(recovery &found)
+{
+    if (found.missing == 0) {
+        job_answer answer;
+        answer.state = job_state::complete;
+        answer.results.reserve(found.results.size());
+        for (std::optional<std::string> &result : found.results) {
+            answer.results.push_back(*std::move(result));
+        }
+        settle(found, answer);
+    } else if (found.pending.empty()) {
+        fail(found, reason::outcomeUnknown);
+    }
+}
+
+// Answers a recovery as failed; it never says "not run".
+void ticket_recovery::fail(recovery &found, reason why)
+{
+    job_answer answer;
+    answer.state = job_state::failed;
+    answer.why = why;
+    settle(found, answer);
+}
+
+// Answers everyone who waits and keeps the answer. The recovery is gone afterwards.
+void ticket_recovery::settle(recovery &found, const job_answer &answer)
+{
+    const ticket_id ticket = found.ticket;
+    if (m_context.log.isEnabled()) {
+        m_context.log.write(log_part::job, concat("Recovered a ticket. ", ticketText(ticket), " reason=", reasonText(answer.why)));
+    }
+    m_timers.cancel(found.timer);
+    for (const request_id &request : found.waiters) {
+        reply(request, ticket, answer);
+    }
+    m_recovered.keep(ticket, {.digest = found.digest, .answer = kept_answer(answer)}, m_context.now);
+    m_recoveries.erase(ticket);
+}
+
+void ticket_recovery::reply(const request_id &request, const ticket_id &ticket, job_answer answer)
+{
+    m_context.actions->push_back(reply_job{.request = request, .ticket = ticket, .answer = std::move(answer)});
+}
+
+// Lists the tickets in recovery, since a recovery may end while they are visited.
+std::vector<ticket_id> ticket_recovery::tickets() const
+{
+    std::vector<ticket_id> all;
+    all.reserve(m_recoveries.size());
+    for (const auto &[ticket, one] : m_recoveries) {
+        all.push_back(ticket);
+    }
+    return all;
+}
+
+void ticket_recovery::agentJoined(const agent_id &agent)
+{
+    for (const auto &[ticket, one] : m_recoveries) {
+        fence(*one, agent);
+    }
+}
+
+void ticket_recovery::incarnationGone(const agent_id &agent)
+{
+    for (const ticket_id &ticket : tickets()) {
+        recovery &one = *m_recoveries.at(ticket);
+        if (one.pending.erase(agent) > 0) {
+            settleIfDecided(one);
+        }
+    }
+}
+
+void ticket_recovery::runTimers()
+{
+    m_recovered.expire(m_context.now);
+    while (const auto ticket = m_timers.takeDue(m_context.now)) {
+        recovery &one = *m_recoveries.at(*ticket);
+        one.timer = m_timers.schedule(one.deadline, *ticket);
+        if (m_context.now >= one.deadline) {
+            fail(one, reason::outcomeUnknown);
+        } else {
+            repeat(one);
+        }
+    }
+}
+
+// Asks the agents again that did not answer or where a task was running.
+void ticket_recovery::repeat(recovery &found)
+{
+    for (auto &[agent, state] : found.pending) {
+        if (state == fence_state::askAgain) {
+            state = fence_state::asked;
+            m_context.actions->push_back(fence_ticket{.agent = agent, .ticket = found.ticket});
+        }
+    }
+}
+
+mono_time ticket_recovery::nextDue() const
+{
+    return m_timers.nextDue();
+}
+
+std::size_t ticket_recovery::size() const
+{
+    return m_recoveries.size();
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/ticket_recovery.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "base/clock.h"
+#include "core/agent_id.h"
+#include "core/held_task.h"
+#include "core/job_request.h"
+#include "core/request_id.h"
+#include "core/ticket_id.h"
+#include "job/entry_context.h"
+#include "job/recovered_jobs.h"
+#include "job/recovery.h"
+#include "job/timer_queue.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+namespace teaselward
+{
+
+/**
+ * Answers tickets whose home is gone: every known agent is fenced and returns what it holds. If the results of all tasks are
+ * held, the answer is complete. It never says "not run", since an unknown agent may have run a task.
+ */
+class ticket_recovery
+{
+public:
+    /**
+     * Creates the state without recoveries.
+     * @param context what the parts of the entry share
+     */
+    explicit ticket_recovery(entry_context &context);
+
+    /**
+     * Starts the recovery of a ticket, or joins the one that exists.
+     * @param request the request to answer
+     * @param job the submission with the number of tasks
+     */
+    void recover(const request_id &request, const job_request &job);
+
+    /**
+     * Answers a query or a cancellation from a recovery that exists. It starts none, since the number of tasks is unknown.
+     * @param request the request to answer
+     * @param ticket its ticket
+     * @return false if there is no recovery of the ticket
+     */
+    bool answer(const request_id &request, const ticket_id &ticket);
+
+    /**
+     * Tells whether a ticket is recovered, or has been.
+     * @param ticket the ticket
+     */
+    bool isKnown(const ticket_id &ticket) const;
+
+    /**
+     * Applies the answer to a fence.
+     * @param agent agent that was asked
+     * @param ticket the ticket
+     * @param answered false if the agent did not answer
+     * @param held what the agent holds
+     */
+    void fenced(const agent_id &agent, const ticket_id &ticket, bool answered, std::vector<held_task> held);
+
+    /**
+     * Fences the tickets in recovery at an agent that has registered.
+     * @param agent the agent
+     */
+    void agentJoined(const agent_id &agent);
+
+    /**
+     * Stops asking an agent incarnation that no longer exists.
+     * @param agent the agent
+     */
+    void incarnationGone(const agent_id &agent);
+
+    /** Repeats the fences that are due and fails the recoveries whose deadline has passed. */
+    void runTimers();
+
+    /** @return instant of the next timer */
+    mono_time nextDue() const;
+
+    /** @return number of recoveries in progress */
+    std::size_t size() const;
+
+private:
+    void create(const request_id &request, const job_request &job, const request_digest &digest, const std::vector<agent_id> &agents);
+    bool collect(recovery &found, std::vector<held_task> held);
+    void fence(recovery &found, const agent_id &agent);
+    void repeat(recovery &found);
+    void settleIfDecided(recovery &found);
+    void settle(recovery &found, const job_answer &answer);
+    void fail(recovery &found, reason why);
+    void reply(const request_id &request, const ticket_id &ticket, job_answer answer);
+    std::vector<ticket_id> tickets() const;
+
+    entry_context &m_context;
+    absl::flat_hash_map<ticket_id, std::unique_ptr<recovery>> m_recoveries;
+    recovered_jobs m_recovered;
+    timer_queue<ticket_id> m_timers;
+};
+
+} // namespace teaselward
