--- a/src/job/entry_context.h
+++ b/src/job/entry_context.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "base/clock.h"
+#include "core/job_answer.h"
+#include "core/request_id.h"
 #include "core/rule_set.h"
+#include "core/ticket_id.h"
 #include "job/backoff.h"
 #include "job/entry_action.h"
 #include "job/entry_core_settings.h"
@@ -10,6 +13,7 @@
 #include "share/task_queue.h"
 
 #include <memory>
+#include <utility>
 #include <vector>
 
 namespace teaselward
@@ -27,6 +31,17 @@
     {
     }
 
+    /**
+     * Answers a request.
+     * @param request the request
+     * @param ticket ticket that it named
+     * @param answer the answer
+     */
+    void reply(const request_id &request, const ticket_id &ticket, job_answer answer) const
+    {
+        actions->push_back(reply_job{.request = request, .ticket = ticket, .answer = std::move(answer)});
+    }
+
     entry_core_settings settings;
     mono_time start; ///< Tickets state their issue time relative to it.
     decision_log &log;
--- /dev/null
+++ b/src/job/entry_core_events.cpp
@@ -0,0 +1,164 @@
+#include "job/entry_core_private.h"
+
+#include "core/concat.h"
+
+#include <utility>
+
+namespace teaselward::detail
+{
+
+void entry_core_private::onTicketRequested(const ticket_requested &event)
+{
+    reply_tickets reply{.request = event.request, .why = reason::none, .tickets = {}};
+    if (m_drainEnd) {
+        reply.why = reason::draining;
+    } else if (event.count == 0 || event.count > m_context.settings.ticketBatch) {
+        reply.why = reason::malformed;
+    } else {
+        reply.tickets = m_tickets.issue(event.count, m_context.now);
+    }
+    m_context.actions->push_back(std::move(reply));
+}
+
+void entry_core_private::onJobSubmitted(const job_submitted &event)
+{
+    if (m_tickets.isHome(event.job.source)) {
+        m_jobs.submit(event.request, event.job);
+    } else {
+        m_forwarder.forwardJob(event.request, event.job);
+    }
+}
+
+void entry_core_private::onJobQueried(const job_queried &event)
+{
+    if (m_tickets.isHome(event.source)) {
+        m_jobs.query(event.request, event.source, event.wait);
+    } else {
+        m_forwarder.forwardQuery(event.request, event.source, event.wait);
+    }
+}
+
+void entry_core_private::onJobCancelled(const job_cancelled &event)
+{
+    if (m_tickets.isHome(event.source)) {
+        m_jobs.cancel(event.request, event.source);
+    } else {
+        m_forwarder.forwardCancel(event.request, event.source);
+    }
+}
+
+// A new incarnation at a known address proves that the ledger of the former one is gone.
+void entry_core_private::onAgentJoined(const agent_joined &event)
+{
+    const agent_id &agent = event.info.id;
+    if (const auto former = m_agents.join(event.info); former) {
+        m_agents.leave(*former);
+        m_context.slots.leave(*former);
+        m_placer.incarnationGone(*former);
+        m_recoveries.incarnationGone(*former);
+    }
+    m_context.slots.join(event.info, event.credits, event.lease, m_context.now);
+    m_placer.connectionRestored(agent);
+    m_recoveries.agentJoined(agent);
+}
+
+void entry_core_private::onAgentLost(const agent_lost &event)
+{
+    m_agents.leave(event.agent);
+    m_context.slots.leave(event.agent);
+    m_placer.connectionLost(event.agent);
+}
+
+// The agent still answers the starts that it accepted, so its placements stay.
+void entry_core_private::onAgentLeaving(const agent_leaving &event)
+{
+    m_agents.leave(event.agent);
+    m_context.slots.leave(event.agent);
+}
+
+void entry_core_private::onCreditsGranted(const credits_granted &event)
+{
+    m_context.slots.addCredits(event.agent, event.delta);
+}
+
+void entry_core_private::onTaskFinished(const task_finished &event)
+{
+    m_placer.finished(event.agent, event.id, event.outcome, event.credits);
+}
+
+void entry_core_private::onStartUnanswered(const start_unanswered &event)
+{
+    m_placer.unanswered(event.agent, event.id);
+}
+
+void entry_core_private::onTaskRevoked(const task_revoked &event)
+{
+    m_placer.revoked(event.agent, event.held);
+}
+
+void entry_core_private::onTicketFenced(const ticket_fenced &event)
+{
+    m_recoveries.fenced(event.agent, event.ticket, event.answered, event.held);
+}
+
+void entry_core_private::onForwardAnswered(const forward_answered &event)
+{
+    m_forwarder.answered(event.request, event.reached, event.otherIncarnation, event.answer);
+}
+
+void entry_core_private::onPeerJoined(const peer_joined &event)
+{
+    m_quotas.join(event.info);
+}
+
+void entry_core_private::onPeerLost(const peer_lost &event)
+{
+    m_quotas.lose(event.peer);
+}
+
+void entry_core_private::onPeerReported(const peer_reported &event)
+{
+    m_quotas.reported(event.peer, event.usage);
+}
+
+// A configuration never reverts, so rules with a lower offset are ignored.
+void entry_core_private::onRulesApplied(const rules_applied &event)
+{
+    if (!event.rules || (m_context.rules && event.rules->offset < m_context.rules->offset)) {
+        return;
+    }
+    m_context.rules = event.rules;
+    m_context.queue.setRules(event.rules);
+}
+
+void entry_core_private::onStatusRequested(const status_requested &event)
+{
+    reply_status reply{.request = event.request, .status = {}};
+    reply.status.self = m_context.settings.self;
+    reply.status.draining = m_drainEnd.has_value();
+    reply.status.rulesOffset = m_context.rules ? m_context.rules->offset : 0;
+    reply.status.runningJobs = m_jobs.runningCount();
+    reply.status.keptAnswers = m_jobs.keptCount();
+    reply.status.peers = m_quotas.peers();
+    reply.status.endpoints = m_context.slots.status();
+    reply.status.queues = m_context.queue.status();
+    m_context.actions->push_back(std::move(reply));
+}
+
+void entry_core_private::onTimer(const timer_fired & /*event*/)
+{
+}
+
+void entry_core_private::onDrainStarted(const drain_started &event)
+{
+    if (m_drainEnd) {
+        return;
+    }
+    m_drainEnd = m_context.now + event.bound;
+    m_context.isDraining = true;
+    if (m_context.log.isEnabled()) {
+        m_context.log.write(log_part::job, concat("Draining. jobs=", m_jobs.runningCount(), " bound_ms=", event.bound.count()));
+    }
+}
+
+} // namespace teaselward::detail
--- /dev/null
+++ b/src/job/job_admission.cpp
@@ -0,0 +1,60 @@
+#include "job/job_admission.h"
+
+#include "core/concat.h"
+#include "core/reason_text.h"
+#include "core/task_text.h"
+#include "job/refusal.h"
+
+namespace teaselward
+{
+
+job_admission::job_admission(entry_context &context, const job_table &table)
+    : m_context(context)
+    , m_table(table)
+{
+}
+
+std::optional<job_answer> job_admission::refuse(const job_request &job)
+{
+    std::optional<job_answer> refused = decide(job);
+    if (m_context.log.isEnabled()) {
+        m_context.log.write(log_part::admit,
+                            concat(refused ? "Refused a job. " : "Admitted a job. ",
+                                   ticketText(job.source.id),
+                                   " kind=",
+                                   job.kind,
+                                   " team=",
+                                   job.team,
+                                   " tasks=",
+                                   job.payloads.size(),
+                                   " reason=",
+                                   reasonText(refused ? refused->why : reason::none)));
+    }
+    return refused;
+}
+
+// Checks what needs no measured figures first.
+std::optional<job_answer> job_admission::decide(const job_request &job)
+{
+    if (m_context.isDraining) {
+        return refusal(reason::draining);
+    }
+    if (!m_context.rules || !m_context.rules->kinds.contains(job.kind)) {
+        return refusal(reason::unknownKind);
+    }
+    const kind_rule &rule = m_context.rules->kinds.find(job.kind)->second;
+    if (job.payloads.empty() || job.payloads.size() > rule.taskLimit || job.timeLimit.count() < 0) {
+        return refusal(reason::malformed);
+    }
+    if (!m_table.hasRoom()) {
+        return refusal(reason::overloaded, RoomRetry);
+    }
+    const std::size_t slots = m_context.slots.slots(job.kind);
+    if (slots == 0) {
+        return refusal(reason::noEndpoint, RoomRetry);
+    }
+    const admission_result admitted = m_context.queue.admit(job, slots, m_context.now);
+    return admitted.why == reason::none ? std::nullopt : std::optional(refusal(admitted.why, admitted.retryAfter));
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/job/job_admission.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/job_answer.h"
+#include "core/job_request.h"
+#include "job/entry_context.h"
+#include "job/job_table.h"
+
+#include <chrono>
+#include <optional>
+
+namespace teaselward
+{
+
+/** Decides which new jobs are accepted; nothing of a refused job has been started. */
+class job_admission
+{
+public:
+    /** Time after which a caller may try again while memory or endpoints are missing. Both come back steadily. */
+    static constexpr std::chrono::milliseconds RoomRetry{1000};
+
+    /**
+     * Creates the admission.
+     * @param context what the parts of the entry share
+     * @param table jobs that are kept
+     */
+    job_admission(entry_context &context, const job_table &table);
+
+    /**
+     * Decides on a new job and counts its tasks as in progress if it is accepted.
+     * @param job the submission
+     * @return the refusal, or nothing if the job is accepted
+     */
+    std::optional<job_answer> refuse(const job_request &job);
+
+private:
+    std::optional<job_answer> decide(const job_request &job);
+
+    entry_context &m_context;
+    const job_table &m_table;
+};
+
+} // namespace teaselward
--- a/src/job/job_manager.cpp
+++ b/src/job/job_manager.cpp
@@ -12,21 +12,12 @@
 namespace teaselward
 {
 
-namespace
-{
-
-// A caller needs one request for a job, and a few more if it believes the job lost.
-constexpr std::size_t MaxWaiters = 64;
-
-// Settled jobs are dropped after the lifetime of a ticket, so room comes back steadily.
-constexpr std::chrono::milliseconds RoomRetry{1000};
-
-} // namespace
-
 job_manager::job_manager(entry_context &context, const ticket_book &tickets)
     : m_context(context)
     , m_tickets(tickets)
     , m_table(context.settings.ticketLifetime, context.settings.maxJobs, context.settings.maxJobBytes)
+    , m_admission(context, m_table)
+    , m_waiters(context)
 {
 }
 
@@ -35,27 +26,27 @@
 {
     const reason verdict = m_tickets.check(job.source, m_context.now);
     if (verdict == reason::badTicket) {
-        reply(request, job.source.id, refusal(verdict));
+        m_context.reply(request, job.source.id, refusal(verdict));
         return;
     }
     if (answerKnown(request, job)) {
         return;
     }
     if (verdict != reason::none) {
-        reply(request, job.source.id, refusal(verdict));
+        m_context.reply(request, job.source.id, refusal(verdict));
         return;
     }
     const request_digest digest = digestOf(job);
     if (joinByKey(request, job, digest)) {
         return;
     }
-    if (std::optional<job_answer> refused = refuse(job); refused) {
+    if (std::optional<job_answer> refused = m_admission.refuse(job); refused) {
         if (m_context.log.isEnabled()) {
             m_context.log.write(
                 log_part::admit,
                 concat("Refused a job. ", ticketText(job.source.id), " kind=", job.kind, " team=", job.team, " reason=", reasonText(refused->why)));
         }
-        reply(request, job.source.id, *std::move(refused));
+        m_context.reply(request, job.source.id, *std::move(refused));
         return;
     }
     create(request, std::move(job), digest);
@@ -73,11 +64,11 @@
     }
     const request_digest &digest = kept != nullptr ? kept->digest : joined != nullptr ? joined->digest : running->digest;
     if (digest != digestOf(job)) {
-        reply(request, job.source.id, refusal(reason::ticketReused));
+        m_context.reply(request, job.source.id, refusal(reason::ticketReused));
     } else if (kept != nullptr) {
-        reply(request, job.source.id, kept->answer->unpack());
+        m_context.reply(request, job.source.id, kept->answer->unpack());
     } else {
-        addWaiter(*running, request, job.source.id, std::nullopt);
+        m_waiters.add(*running, request, job.source.id, std::nullopt);
     }
     return true;
 }
@@ -96,30 +87,6 @@
     return answerKnown(request, job);
 }
 
-// Decides whether a new job is refused. Nothing of it has been started then.
-std::optional<job_answer> job_manager::refuse(const job_request &job)
-{
-    if (m_context.isDraining) {
-        return refusal(reason::draining);
-    }
-    if (!m_context.rules || !m_context.rules->kinds.contains(job.kind)) {
-        return refusal(reason::unknownKind);
-    }
-    const kind_rule &rule = m_context.rules->kinds.find(job.kind)->second;
-    if (job.payloads.empty() || job.payloads.size() > rule.taskLimit || job.timeLimit.count() < 0) {
-        return refusal(reason::malformed);
-    }
-    if (!m_table.hasRoom()) {
-        return refusal(reason::overloaded, RoomRetry);
-    }
-    const std::size_t slots = m_context.slots.slots(job.kind);
-    if (slots == 0) {
-        return refusal(reason::noEndpoint, RoomRetry);
-    }
-    const admission_result admitted = m_context.queue.admit(job, slots, m_context.now);
-    return admitted.why == reason::none ? std::nullopt : std::optional(refusal(admitted.why, admitted.retryAfter));
-}
-
 // Creates an admitted job and queues its tasks.
 void job_manager::create(const request_id &request, job_request job, const request_digest &digest)
 {
@@ -140,11 +107,7 @@
     }
     m_table.keys().add(job.team, job.kind, job.key, sequence);
     job_record &record = m_table.add(std::move(created));
-    addWaiter(record, request, job.source.id, std::nullopt);
-    if (m_context.log.isEnabled()) {
-        m_context.log.write(log_part::admit,
-                            concat("Admitted a job. ", ticketText(job.source.id), " kind=", job.kind, " team=", job.team, " tasks=", record.tasks.size()));
-    }
+    m_waiters.add(record, request, job.source.id, std::nullopt);
     for (std::uint32_t index = 0; index < record.tasks.size(); ++index) {
         m_context.queue.push({.id = {.ticket = job.source.id, .index = index}, .kind = job.kind, .team = job.team, .deadline = record.deadline}, m_context.now);
     }
@@ -154,11 +117,11 @@
 {
     const reason verdict = m_tickets.check(source, m_context.now);
     if (const kept_job *kept = m_table.findKept(source.id.sequence); kept != nullptr) {
-        reply(request, source.id, kept->answer->unpack());
+        m_context.reply(request, source.id, kept->answer->unpack());
     } else if (job_record *job = findRunningOrJoined(source.id.sequence); job != nullptr) {
-        addWaiter(*job, request, source.id, wait);
+        m_waiters.add(*job, request, source.id, wait);
     } else {
-        reply(request, source.id, refusal(verdict == reason::none ? reason::unknownJob : verdict));
+        m_context.reply(request, source.id, refusal(verdict == reason::none ? reason::unknownJob : verdict));
     }
 }
 
@@ -186,28 +149,6 @@
     return m_table.findRunning(joined != nullptr ? joined->target : sequence);
 }
 
-// Lets a request wait for the answer of a running job, for a limited time if one is given.
-void job_manager::addWaiter(job_record &job, const request_id &request, const ticket_id &ticket, std::optional<std::chrono::milliseconds> wait)
-{
-    if (wait && wait->count() <= 0) {
-        job_answer running;
-        running.state = job_state::running;
-        reply(request, ticket, std::move(running));
-        return;
-    }
-    if (job.waiters.size() >= MaxWaiters) {
-        job_answer busy = refusal(reason::overloaded, RoomRetry);
-        busy.notRun = false;
-        reply(request, ticket, std::move(busy));
-        return;
-    }
-    job_waiter waiter{.request = request, .ticket = ticket, .timer = std::nullopt};
-    if (wait) {
-        waiter.timer = m_waits.schedule(m_context.now + *wait, {.sequence = job.sequence, .request = request});
-    }
-    job.waiters.push_back(waiter);
-}
-
 void job_manager::finishTask(job_record &job, std::uint32_t index, std::string result)
 {
     task_record &task = job.tasks.at(index);
@@ -223,7 +164,7 @@
     for (task_record &one : job.tasks) {
         answer.results.push_back(std::move(one.result));
     }
-    settle(job, std::move(answer));
+    settle(job, answer);
 }
 
 void job_manager::fail(job_record &job, reason why)
@@ -232,11 +173,11 @@
     answer.state = job_state::failed;
     answer.why = why;
     answer.notRun = job.started == 0;
-    settle(job, std::move(answer));
+    settle(job, answer);
 }
 
 // Answers everyone who waits for the job and keeps the answer. The job is gone afterwards.
-void job_manager::settle(job_record &job, job_answer answer)
+void job_manager::settle(job_record &job, const job_answer &answer)
 {
     const std::uint64_t sequence = job.sequence;
     const ticket_id id{.incarnation = m_context.settings.self.id.value, .sequence = sequence};
@@ -257,27 +198,14 @@
         // Nothing ran under the client key, so a new ticket may use it for another attempt.
         m_table.keys().remove(sequence);
     }
-    const std::vector<job_waiter> waiters = std::move(job.waiters);
+    m_waiters.answer(job, answer);
     m_table.settle(sequence, answer, m_context.now);
-    for (const job_waiter &waiter : waiters) {
-        if (waiter.timer) {
-            m_waits.cancel(*waiter.timer);
-        }
-        reply(waiter.request, waiter.ticket, answer);
-    }
-}
-
-void job_manager::reply(const request_id &request, const ticket_id &ticket, job_answer answer)
-{
-    m_context.actions->push_back(reply_job{.request = request, .ticket = ticket, .answer = std::move(answer)});
 }
 
 void job_manager::runTimers()
 {
     failOverdue();
-    while (const auto wait = m_waits.takeDue(m_context.now)) {
-        expireWait(*wait);
-    }
+    m_waiters.runTimers(m_table);
     m_table.expire(m_context.now);
 }
 
@@ -299,21 +227,9 @@
     }
 }
 
-// Answers a query that has waited long enough that the job is still running.
-void job_manager::expireWait(const query_wait &wait)
-{
-    job_record *job = m_table.findRunning(wait.sequence);
-    const auto found = std::ranges::find(job->waiters, wait.request, &job_waiter::request);
-    const ticket_id ticket = found->ticket;
-    job->waiters.erase(found);
-    job_answer running;
-    running.state = job_state::running;
-    reply(wait.request, ticket, std::move(running));
-}
-
 mono_time job_manager::nextDue() const
 {
-    return std::min({m_deadlines.nextDue(), m_waits.nextDue(), m_table.nextDue()});
+    return std::min({m_deadlines.nextDue(), m_waiters.nextDue(), m_table.nextDue()});
 }
 
 std::size_t job_manager::runningCount() const
--- a/src/job/job_manager.h
+++ b/src/job/job_manager.h
@@ -6,18 +6,17 @@
 #include "core/request_id.h"
 #include "core/ticket.h"
 #include "job/entry_context.h"
+#include "job/job_admission.h"
 #include "job/job_record.h"
 #include "job/job_table.h"
-#include "job/query_wait.h"
 #include "job/ticket_book.h"
 #include "job/timer_queue.h"
+#include "job/waiter_book.h"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
-#include <string_view>
 
 namespace teaselward
 {
@@ -92,20 +91,17 @@
 private:
     bool answerKnown(const request_id &request, const job_request &job);
     bool joinByKey(const request_id &request, const job_request &job, const request_digest &digest);
-    std::optional<job_answer> refuse(const job_request &job);
     void create(const request_id &request, job_request job, const request_digest &digest);
-    void addWaiter(job_record &job, const request_id &request, const ticket_id &ticket, std::optional<std::chrono::milliseconds> wait);
     job_record *findRunningOrJoined(std::uint64_t sequence);
-    void settle(job_record &job, job_answer answer);
-    void reply(const request_id &request, const ticket_id &ticket, job_answer answer);
-    void expireWait(const query_wait &wait);
+    void settle(job_record &job, const job_answer &answer);
     void failOverdue();
 
     entry_context &m_context;
     const ticket_book &m_tickets;
     job_table m_table;
+    job_admission m_admission;
+    waiter_book m_waiters;
     timer_queue<std::uint64_t> m_deadlines; ///< Sequences of the running jobs.
-    timer_queue<query_wait> m_waits;
 };
 
 } // namespace teaselward
--- a/src/job/recovered_jobs.cpp
+++ b/src/job/recovered_jobs.cpp
@@ -23,7 +23,7 @@
 void recovered_jobs::keep(const ticket_id &ticket, recovered_job job, mono_time now)
 {
     m_bytes += job.answer.size();
-    m_jobs.emplace(ticket, std::move(job));
+    m_jobs.insert_or_assign(ticket, std::move(job));
     m_expiries.emplace_back(now + m_lifetime, ticket);
 }
 
--- /dev/null
+++ b/src/job/recovery.cpp
@@ -0,0 +1,26 @@
+#include "job/recovery.h"
+
+#include <utility>
+
+namespace teaselward
+{
+
+bool recovery::collect(std::vector<held_task> held)
+{
+    for (held_task &task : held) {
+        if (task.state != held_state::finished || task.id.index >= results.size()) {
+            continue;
+        }
+        if (task.outcome.verdict == task_verdict::failed) {
+            return false;
+        }
+        std::optional<std::string> &result = results[task.id.index];
+        if (task.outcome.verdict == task_verdict::succeeded && !result) {
+            result = std::move(task.outcome.body);
+            --missing;
+        }
+    }
+    return true;
+}
+
+} // namespace teaselward
--- a/src/job/recovery.h
+++ b/src/job/recovery.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "core/agent_id.h"
+#include "core/held_task.h"
 #include "core/request_id.h"
 #include "core/ticket_id.h"
 #include "job/backoff.h"
@@ -27,6 +28,13 @@
     {
     }
 
+    /**
+     * Takes the results that an agent holds.
+     * @param held what the agent holds about the ticket
+     * @return false if it holds the failure of a task
+     */
+    bool collect(std::vector<held_task> held);
+
     ticket_id ticket;
     backoff delays;
     request_digest digest{};
--- a/src/job/request_forwarder.cpp
+++ b/src/job/request_forwarder.cpp
@@ -77,7 +77,7 @@
     const ticket &source = record.job.source;
     if (request.origin == request_origin::peer) {
         // The sender takes this entry for the home; another hop could not help it.
-        reply(request, source.id, refusal(reason::homeUnreachable, HomeRetry));
+        m_context.reply(request, source.id, refusal(reason::homeUnreachable, HomeRetry));
         return;
     }
     // The address of this entry with another incarnation means that the home was restarted as this process.
@@ -119,7 +119,7 @@
     if (reached && !otherIncarnation) {
         m_failures.erase(ticket.incarnation);
         m_forwards.erase(found);
-        reply(request, ticket, std::move(answer));
+        m_context.reply(request, ticket, std::move(answer));
         return;
     }
     if (otherIncarnation || isGone(ticket.incarnation)) {
@@ -134,7 +134,7 @@
         return;
     }
     m_forwards.erase(found);
-    reply(request, ticket, refusal(reason::homeUnreachable, HomeRetry));
+    m_context.reply(request, ticket, refusal(reason::homeUnreachable, HomeRetry));
 }
 
 // Counts a try that did not reach a home, and tells whether the home counts as gone.
@@ -160,15 +160,10 @@
     if (record.kind == forward_kind::submission) {
         m_recoveries.recover(request, record.job);
     } else if (!m_recoveries.answer(request, source.id)) {
-        reply(request, source.id, refusal(reason::homeUnreachable, HomeRetry));
+        m_context.reply(request, source.id, refusal(reason::homeUnreachable, HomeRetry));
     }
 }
 
-void request_forwarder::reply(const request_id &request, const ticket_id &ticket, job_answer answer)
-{
-    m_context.actions->push_back(reply_job{.request = request, .ticket = ticket, .answer = std::move(answer)});
-}
-
 void request_forwarder::runTimers()
 {
     while (const auto request = m_retries.takeDue(m_context.now)) {
--- a/src/job/request_forwarder.h
+++ b/src/job/request_forwarder.h
@@ -76,7 +76,6 @@
     void send(const request_id &request, const forward_record &record);
     void giveUpOnHome(const request_id &request, const forward_record &record);
     bool isGone(std::uint64_t incarnation);
-    void reply(const request_id &request, const ticket_id &ticket, job_answer answer);
 
     entry_context &m_context;
     ticket_recovery &m_recoveries;
--- /dev/null
+++ b/src/job/returned_tasks.cpp
@@ -0,0 +1,83 @@
+#include "job/returned_tasks.h"
+
+#include "core/concat.h"
+#include "core/reason_text.h"
+#include "core/task_text.h"
+#include "job/backoff.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Refusals of one task after which its job fails; with the delays below this takes some seconds.
+constexpr std::uint32_t MaxPlacements = 12;
+
+// Delays before a refused task is queued again. The first refusal is not delayed: mostly a credit crossed with its return.
+constexpr std::chrono::milliseconds FirstDelay{10};
+constexpr std::chrono::milliseconds LastDelay{1000};
+
+} // namespace
+
+returned_tasks::returned_tasks(entry_context &context, job_manager &jobs)
+    : m_context(context)
+    , m_jobs(jobs)
+{
+}
+
+void returned_tasks::add(queued_task task, const task_outcome &outcome, job_record &job)
+{
+    task_record &record = job.tasks.at(task.id.index);
+    --job.started;
+    if (m_context.log.isEnabled()) {
+        m_context.log.write(log_part::place,
+                            concat("Took back a task. ", taskText(task.id), " reason=", reasonText(outcome.why), " placements=", record.placements));
+    }
+    if (record.placements >= MaxPlacements) {
+        m_context.queue.finish(task, outcome, m_context.now);
+        m_jobs.fail(job, reason::noEndpoint);
+        return;
+    }
+    record.state = task_state::delayed;
+    if (record.placements == 1) {
+        requeue(std::move(task));
+        return;
+    }
+    const auto step = std::min(FirstDelay * (1U << (record.placements - 2)), LastDelay);
+    const auto delay = backoff(step, step).next(m_context.random);
+    m_delayed.schedule(m_context.now + delay, std::move(task));
+}
+
+// Puts a task back into the queue, unless its job has been answered meanwhile.
+void returned_tasks::requeue(queued_task task)
+{
+    job_record *job = m_jobs.findRunning(task.id.ticket);
+    if (job == nullptr) {
+        task_outcome dropped;
+        dropped.verdict = task_verdict::notStarted;
+        m_context.queue.finish(task, dropped, m_context.now);
+        return;
+    }
+    job->tasks.at(task.id.index).state = task_state::queued;
+    ++job->queued;
+    m_context.queue.putBack(std::move(task));
+}
+
+void returned_tasks::runTimers()
+{
+    while (auto task = m_delayed.takeDue(m_context.now)) {
+        requeue(*std::move(task));
+    }
+}
+
+mono_time returned_tasks::nextDue() const
+{
+    return m_delayed.nextDue();
+}
+
+} // namespace teaselward
--- a/src/job/task_placer.cpp
+++ b/src/job/task_placer.cpp
@@ -1,8 +1,8 @@
 #include "job/task_placer.h"
 
 #include "core/concat.h"
-#include "core/reason_text.h"
 #include "core/task_text.h"
+#include "job/failure_reason.h"
 
 #include <utility>
 
@@ -12,39 +12,15 @@
 namespace
 {
 
-// Refusals of one task after which its job fails; with the delays below this takes some seconds.
-constexpr std::uint32_t MaxPlacements = 12;
-
-// Delays before a refused task is queued again. The first refusal is not delayed: mostly a credit crossed with its return.
-constexpr std::chrono::milliseconds FirstRequeueDelay{10};
-constexpr std::chrono::milliseconds LastRequeueDelay{1000};
-
 // Most doublings between the first and the last delay of revocations.
 constexpr int RevokeDoublings = 5;
 
-// Outcome of a start whose agent can no longer be asked.
-task_outcome unknownOutcome()
-{
-    task_outcome outcome;
-    outcome.verdict = task_verdict::unknown;
-    outcome.why = reason::outcomeUnknown;
-    return outcome;
-}
-
-// Reason that the caller sees when a task ended without a result.
-reason failureReason(const task_outcome &outcome)
-{
-    if (outcome.why == reason::deadlineExceeded) {
-        return reason::deadlineExceeded;
-    }
-    return outcome.verdict == task_verdict::failed ? reason::taskFailed : reason::outcomeUnknown;
-}
-
 } // namespace
 
 task_placer::task_placer(entry_context &context, job_manager &jobs)
     : m_context(context)
     , m_jobs(jobs)
+    , m_returned(context, jobs)
     , m_placeable([this](std::string_view kind) {
         return m_context.slots.isPlaceable(kind, m_context.now);
     })
@@ -123,7 +99,7 @@
         --job->ambiguous;
     }
     if (job != nullptr && outcome.verdict == task_verdict::notStarted && outcome.why != reason::outcomeUnknown) {
-        putBack(std::move(placed.task), outcome, *job);
+        m_returned.add(std::move(placed.task), outcome, *job);
         return;
     }
     m_context.queue.finish(placed.task, outcome, m_context.now);
@@ -138,43 +114,6 @@
     }
 }
 
-// Returns a task that was not started to the queue, or fails its job after too many refusals.
-void task_placer::putBack(queued_task task, const task_outcome &outcome, job_record &job)
-{
-    task_record &record = job.tasks.at(task.id.index);
-    --job.started;
-    if (m_context.log.isEnabled()) {
-        m_context.log.write(log_part::place,
-                            concat("Took back a task. ", taskText(task.id), " reason=", reasonText(outcome.why), " placements=", record.placements));
-    }
-    if (record.placements >= MaxPlacements) {
-        m_context.queue.finish(task, outcome, m_context.now);
-        m_jobs.fail(job, reason::noEndpoint);
-        return;
-    }
-    record.state = task_state::delayed;
-    if (record.placements == 1) {
-        requeue(std::move(task));
-        return;
-    }
-    const auto step = std::min(FirstRequeueDelay * (1U << (record.placements - 2)), LastRequeueDelay);
-    const auto delay = backoff(step, step).next(m_context.random);
-    m_delayed.schedule(m_context.now + delay, std::move(task));
-}
-
-// Puts a task back into the queue, unless its job has been answered meanwhile.
-void task_placer::requeue(queued_task task)
-{
-    job_record *job = m_jobs.findRunning(task.id.ticket);
-    if (job == nullptr) {
-        m_context.queue.finish(task, {.verdict = task_verdict::notStarted, .why = reason::none, .body = {}, .runTime = {}}, m_context.now);
-        return;
-    }
-    job->tasks.at(task.id.index).state = task_state::queued;
-    ++job->queued;
-    m_context.queue.putBack(std::move(task));
-}
-
 void task_placer::unanswered(const agent_id &agent, const task_id &id)
 {
     placement *placed = m_placements.find(id);
@@ -292,14 +231,12 @@
         m_placements.find(*id)->timer.reset();
         ask(*id);
     }
-    while (auto task = m_delayed.takeDue(m_context.now)) {
-        requeue(*std::move(task));
-    }
+    m_returned.runTimers();
 }
 
 mono_time task_placer::nextDue() const
 {
-    return std::min(m_asks.nextDue(), m_delayed.nextDue());
+    return std::min(m_asks.nextDue(), m_returned.nextDue());
 }
 
 std::size_t task_placer::outstanding() const
--- a/src/job/task_placer.h
+++ b/src/job/task_placer.h
@@ -9,6 +9,7 @@
 #include "job/entry_context.h"
 #include "job/job_manager.h"
 #include "job/placement_table.h"
+#include "job/returned_tasks.h"
 #include "job/timer_queue.h"
 
 #include <chrono>
@@ -96,17 +97,15 @@
 private:
     void start(queued_task task, const agent_id &agent, job_record &job);
     void conclude(const task_id &id, task_outcome outcome, std::int32_t credits);
-    void putBack(queued_task task, const task_outcome &outcome, job_record &job);
     void makeAmbiguous(placement &placed);
     void askAfter(placement &placed, std::chrono::milliseconds delay);
     void ask(const task_id &id);
-    void requeue(queued_task task);
 
     entry_context &m_context;
     job_manager &m_jobs;
+    returned_tasks m_returned;
     placement_table m_placements;
     timer_queue<task_id> m_asks; ///< Placements whose outcome is asked for.
-    timer_queue<queued_task> m_delayed; ///< Tasks that go back to the queue.
     std::function<bool(std::string_view)> m_placeable; ///< Kept, since it is passed for each task.
 };
 
--- a/src/job/ticket_recovery.cpp
+++ b/src/job/ticket_recovery.cpp
@@ -42,20 +42,20 @@
     const ticket_id &ticket = job.source.id;
     const request_digest digest = digestOf(job);
     if (const recovered_job *kept = m_recovered.find(ticket); kept != nullptr) {
-        reply(request, ticket, kept->digest == digest ? kept->answer.unpack() : refusal(reason::ticketReused));
+        m_context.reply(request, ticket, kept->digest == digest ? kept->answer.unpack() : refusal(reason::ticketReused));
         return;
     }
     if (const auto found = m_recoveries.find(ticket); found != m_recoveries.end()) {
         if (found->second->digest == digest) {
             found->second->waiters.push_back(request);
         } else {
-            reply(request, ticket, refusal(reason::ticketReused));
+            m_context.reply(request, ticket, refusal(reason::ticketReused));
         }
         return;
     }
     const std::vector<agent_id> agents = m_context.slots.agents();
     if (agents.empty() || job.payloads.empty() || m_recoveries.size() >= MaxRecoveries || !m_recovered.hasRoom()) {
-        reply(request, ticket, refusal(job.payloads.empty() ? reason::malformed : reason::homeUnreachable, RecoveryRetry));
+        m_context.reply(request, ticket, refusal(job.payloads.empty() ? reason::malformed : reason::homeUnreachable, RecoveryRetry));
         return;
     }
     create(request, job, digest, agents);
@@ -90,13 +90,13 @@
 bool ticket_recovery::answer(const request_id &request, const ticket_id &ticket)
 {
     if (const recovered_job *kept = m_recovered.find(ticket); kept != nullptr) {
-        reply(request, ticket, kept->answer.unpack());
+        m_context.reply(request, ticket, kept->answer.unpack());
         return true;
     }
     if (m_recoveries.contains(ticket)) {
         job_answer running;
         running.state = job_state::running;
-        reply(request, ticket, std::move(running));
+        m_context.reply(request, ticket, std::move(running));
         return true;
     }
     return false;
@@ -124,7 +124,7 @@
     const bool isRunning = std::ranges::any_of(held, [](const held_task &task) {
         return task.state == held_state::running;
     });
-    if (answered && !collect(one, std::move(held))) {
+    if (answered && !one.collect(std::move(held))) {
         fail(one, reason::taskFailed);
         return;
     }
@@ -139,25 +139,6 @@
     settleIfDecided(one);
 }
 
-// Takes the results that an agent holds; returns false if it holds the failure of a task.
-bool ticket_recovery::collect(recovery &found, std::vector<held_task> held)
-{
-    for (held_task &task : held) {
-        if (task.state != held_state::finished || task.id.index >= found.results.size()) {
-            continue;
-        }
-        if (task.outcome.verdict == task_verdict::failed) {
-            return false;
-        }
-        std::optional<std::string> &result = found.results[task.id.index];
-        if (task.outcome.verdict == task_verdict::succeeded && !result) {
-            result = std::move(task.outcome.body);
-            --found.missing;
-        }
-    }
-    return true;
-}
-
 // Answers if all results are held, or if no agent can return another one.
 void ticket_recovery::settleIfDecided(recovery &found)
 {
@@ -192,17 +173,12 @@
     }
     m_timers.cancel(found.timer);
     for (const request_id &request : found.waiters) {
-        reply(request, ticket, answer);
+        m_context.reply(request, ticket, answer);
     }
     m_recovered.keep(ticket, {.digest = found.digest, .answer = kept_answer(answer)}, m_context.now);
     m_recoveries.erase(ticket);
 }
 
-void ticket_recovery::reply(const request_id &request, const ticket_id &ticket, job_answer answer)
-{
-    m_context.actions->push_back(reply_job{.request = request, .ticket = ticket, .answer = std::move(answer)});
-}
-
 // Lists the tickets in recovery, since a recovery may end while they are visited.
 std::vector<ticket_id> ticket_recovery::tickets() const
 {
--- a/src/job/ticket_recovery.h
+++ b/src/job/ticket_recovery.h
@@ -86,13 +86,11 @@
 
 private:
     void create(const request_id &request, const job_request &job, const request_digest &digest, const std::vector<agent_id> &agents);
-    bool collect(recovery &found, std::vector<held_task> held);
     void fence(recovery &found, const agent_id &agent);
     void repeat(recovery &found);
     void settleIfDecided(recovery &found);
     void settle(recovery &found, const job_answer &answer);
     void fail(recovery &found, reason why);
-    void reply(const request_id &request, const ticket_id &ticket, job_answer answer);
     std::vector<ticket_id> tickets() const;
 
     entry_context &m_context;
--- /dev/null
+++ b/src/job/waiter_book.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "base/clock.h"
+#include "core/job_answer.h"
+#include "core/request_id.h"
+#include "core/ticket_id.h"
+#include "job/entry_context.h"
+#include "job/job_record.h"
+#include "job/job_table.h"
+#include "job/query_wait.h"
+#include "job/timer_queue.h"
+
+#include <chrono>
+#include <optional>
+
+namespace teaselward
+{
+
+/** Requests that wait for the answers of running jobs. */
+class waiter_book
+{
+public:
+    /**
+     * Creates the state without waiting requests.
+     * @param context what the parts of the entry share
+     */
+    explicit waiter_book(entry_context &context);
+
+    /**
+     * Lets a request wait for the answer of a running job.
+     * @param job the job
+     * @param request the request
+     * @param ticket ticket that the request named
+     * @param wait longest time to wait; without it the request waits for the final answer
+     */
+    void add(job_record &job, const request_id &request, const ticket_id &ticket, std::optional<std::chrono::milliseconds> wait);
+
+    /**
+     * Answers all requests that wait for a job.
+     * @param job the job
+     * @param answer its final answer
+     */
+    void answer(job_record &job, const job_answer &answer);
+
+    /**
+     * Answers the requests that have waited long enough that the job is still running.
+     * @param jobs the jobs
+     */
+    void runTimers(job_table &jobs);
+
+    /** @return instant of the next timer */
+    mono_time nextDue() const;
+
+private:
+    void replyRunning(const request_id &request, const ticket_id &ticket);
+
+    entry_context &m_context;
+    timer_queue<query_wait> m_waits;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/tests/job/job_table_test.cpp
@@ -0,0 +1,96 @@
+#include "job/job_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const mono_time Start{1h};
+
+std::unique_ptr<job_record> job(std::uint64_t sequence, std::size_t bytes = 0)
+{
+    auto created = std::make_unique<job_record>();
+    created->sequence = sequence;
+    created->bytes = bytes;
+    return created;
+}
+
+job_answer complete(const std::string &result)
+{
+    job_answer answer;
+    answer.state = job_state::complete;
+    answer.results = {result};
+    return answer;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(job_table_test)
+
+// Guards against an answer that is dropped while its ticket could still be submitted again.
+BOOST_AUTO_TEST_CASE(anAnswerIsKeptForTheLifetimeAfterIt)
+{
+    job_table table(10min, 100, 1000000);
+    table.add(job(1));
+    table.settle(1, complete("x"), Start + 5min);
+    BOOST_TEST(table.findRunning(1) == nullptr);
+    table.expire(Start + 15min - 1ms);
+    BOOST_REQUIRE(table.findKept(1) != nullptr);
+    BOOST_TEST(table.findKept(1)->answer->unpack().results.at(0) == "x");
+    BOOST_TEST((table.nextDue() >= Start + 15min));
+    table.expire(table.nextDue());
+    BOOST_TEST(table.findKept(1) == nullptr);
+    BOOST_TEST(table.keptCount() == 0U);
+}
+
+// Guards against memory that grows without bound, or that is not given back.
+BOOST_AUTO_TEST_CASE(numberAndSizeOfJobsAreBounded)
+{
+    job_table few(10min, 2, 1000000);
+    few.add(job(1));
+    BOOST_TEST(few.hasRoom());
+    few.add(job(2));
+    BOOST_TEST(!few.hasRoom());
+    few.settle(1, complete("x"), Start);
+    BOOST_TEST(!few.hasRoom());
+    few.expire(Start + 10min);
+    BOOST_TEST(few.hasRoom());
+
+    job_table small(10min, 100, 10000);
+    small.add(job(1, 20000));
+    BOOST_TEST(!small.hasRoom());
+    small.settle(1, complete("x"), Start);
+    BOOST_TEST(small.hasRoom());
+    small.add(job(2));
+    small.settle(2, complete(std::string(20000, 'x')), Start);
+    BOOST_TEST(!small.hasRoom());
+    small.expire(Start + 10min);
+    BOOST_TEST(small.hasRoom());
+}
+
+// Guards against a joined ticket that starts a job of its own once the first ticket is forgotten.
+BOOST_AUTO_TEST_CASE(aJoinedTicketKeepsTheAnswerForItsOwnTime)
+{
+    job_table table(10min, 100, 1000000);
+    table.add(job(1));
+    table.join(2, {7, 7}, 1, Start);
+    BOOST_REQUIRE(table.findJoined(2) != nullptr);
+    BOOST_TEST(table.findJoined(2)->target == 1U);
+    table.settle(1, complete("x"), Start);
+    BOOST_TEST(table.findJoined(2) == nullptr);
+    BOOST_REQUIRE(table.findKept(2) != nullptr);
+    table.join(3, {8, 8}, 1, Start + 9min);
+    table.expire(Start + 10min);
+    BOOST_TEST(table.findKept(1) == nullptr);
+    BOOST_TEST(table.findKept(2) == nullptr);
+    BOOST_REQUIRE(table.findKept(3) != nullptr);
+    BOOST_TEST(table.findKept(3)->answer->unpack().results.at(0) == "x");
+    table.expire(Start + 19min);
+    BOOST_TEST(table.findKept(3) == nullptr);
+    BOOST_TEST(table.hasRoom());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/job/key_index_test.cpp
@@ -0,0 +1,39 @@
+#include "job/key_index.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace teaselward;
+
+BOOST_AUTO_TEST_SUITE(key_index_test)
+
+// Guards against jobs of different teams or kinds that are joined because their texts run together.
+BOOST_AUTO_TEST_CASE(keysBelongToTheirTeamAndKind)
+{
+    key_index index;
+    index.add("a", "b", "c", 1);
+    BOOST_TEST(index.find("a", "b", "c").value_or(0) == 1U);
+    BOOST_TEST(!index.find("ab", "", "c").has_value());
+    BOOST_TEST(!index.find("", "ab", "c").has_value());
+    BOOST_TEST(!index.find("a", "", "bc").has_value());
+}
+
+// Guards against all jobs without a key being joined to the first of them.
+BOOST_AUTO_TEST_CASE(anEmptyKeyIsNoKey)
+{
+    key_index index;
+    index.add("a", "b", "", 1);
+    BOOST_TEST(!index.find("a", "b", "").has_value());
+}
+
+// Guards against a key that outlives its job.
+BOOST_AUTO_TEST_CASE(aKeyGoesWithItsJob)
+{
+    key_index index;
+    index.add("a", "b", "c", 1);
+    index.remove(2);
+    BOOST_TEST(index.find("a", "b", "c").has_value());
+    index.remove(1);
+    BOOST_TEST(!index.find("a", "b", "c").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
