--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	@tools/demo
 
 test: build
-	@ctest --test-dir $(BUILD) --output-on-failure -j 4
+	@tools/run-tests
 
 format:
 	@clang-format -i $$(tools/sources)
--- /dev/null
+++ b/src/base/due_timer.cpp
@@ -0,0 +1,69 @@
+#include "base/due_timer.h"
+
+#include "base/bounded_ring.h"
+#include "base/duty_thread.h"
+
+#include <utility>
+
+namespace teaselward
+{
+
+namespace detail
+{
+
+class due_timer_private
+{
+public:
+    explicit due_timer_private(std::function<void()> call)
+        : fire(std::move(call))
+    {
+    }
+
+    // Waits for a new instant or for the armed one, whichever comes first.
+    void run()
+    {
+        mono_time due = mono_time::max();
+        while (true) {
+            const auto changed = due == mono_time::max() ? instants.pop() : instants.popUntil(due);
+            if (changed) {
+                due = *changed;
+            } else if (instants.isFinished()) {
+                return;
+            } else if (mono_clock::now() >= due) {
+                due = mono_time::max();
+                fire();
+            }
+        }
+    }
+
+    static constexpr std::size_t RingCapacity = 16;
+    std::function<void()> fire;
+    bounded_ring<mono_time> instants{RingCapacity};
+    duty_thread thread{"timer", [this] {
+                           run();
+                       }};
+};
+
+} // namespace detail
+
+due_timer::due_timer(std::function<void()> fire)
+    : d(std::make_unique<detail::due_timer_private>(std::move(fire)))
+{
+}
+
+due_timer::~due_timer()
+{
+    stop();
+}
+
+bool due_timer::arm(mono_time due)
+{
+    return d->instants.tryPush(std::move(due));
+}
+
+void due_timer::stop()
+{
+    d->instants.close();
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/cli/local_command.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace teaselward
+{
+
+/**
+ * Runs an entry, an agent, a platform log and an endpoint as threads of one process.
+ * @param argc number of arguments
+ * @param argv arguments from the subcommand's name on
+ * @return exit status
+ */
+int runLocal(int argc, char **argv);
+
+} // namespace teaselward
--- a/src/cli/subcommands.cpp
+++ b/src/cli/subcommands.cpp
@@ -1,6 +1,10 @@
 #include "cli/subcommands.h"
 
+#include "cli/agent_command.h"
 #include "cli/bench_command.h"
+#include "cli/check_settings_command.h"
+#include "cli/entry_command.h"
+#include "cli/local_command.h"
 
 #include <array>
 
@@ -11,6 +15,10 @@
 {
 
 constexpr std::array Table = {
+    subcommand{"entry", "accept jobs from callers and dispatch their tasks", &runEntry},
+    subcommand{"agent", "run tasks on the endpoint beside it", &runAgent},
+    subcommand{"local", "run all parts as threads of one process", &runLocal},
+    subcommand{"check-settings", "check settings files of entries and agents", &runCheckSettings},
     subcommand{"bench", "measure the decisions in virtual time and print a signature", &runBench},
 };
 
--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -1,5 +1,6 @@
 #include "config/config_follower.h"
 
+#include "base/backoff.h"
 #include "base/duty_thread.h"
 #include "config/config_error.h"
 #include "config/config_reader.h"
@@ -7,7 +8,6 @@
 #include "config/rule_publisher.h"
 #include "config/snapshot_schedule.h"
 #include "config/system_wall_clock.h"
-#include "platform/jittered_backoff.h"
 
 #include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
@@ -33,6 +33,9 @@
 // Part of the retention that passes before a snapshot is repeated that was appended but not read back.
 constexpr int RepeatDivisor = 8;
 
+// The first delay after a failure, as a part of the longest one.
+constexpr int FirstDelayDivisor = 20;
+
 const system_wall_clock MachineClock;
 
 constexpr std::string_view OutcomeTexts[] = {"accepted", "conflict", "invalid", "repeated", "ignored"};
@@ -56,7 +59,8 @@
     config_reader reader;
     rule_publisher publisher;
     snapshot_schedule schedule;
-    jittered_backoff backoff;
+    std::minstd_rand random;
+    backoff delays;
     bool isDown = false;
     bool wasCurrent = false;
 
@@ -92,7 +96,8 @@
     , reader(log, options.stream, peers)
     , publisher(events, clock == nullptr ? MachineClock : *clock, lines)
     , schedule(options.retention, seed)
-    , backoff(options.retryLimit, seed)
+    , random(static_cast<std::minstd_rand::result_type>(seed))
+    , delays(std::max<std::chrono::milliseconds>(options.retryLimit / FirstDelayDivisor, std::chrono::milliseconds(1)), options.retryLimit)
 {
 }
 
@@ -119,7 +124,7 @@
     }
     if (std::exchange(isDown, false)) {
         write("platform log answers again");
-        backoff.reset();
+        delays.reset();
     }
     handleSteps(steps);
 }
@@ -166,7 +171,7 @@
         write("configuration taken from a peer offset=" + std::to_string(reader.fold().offset()));
         bringIntoForce();
     }
-    sleepUntil(begun + backoff.next());
+    sleepUntil(begun + delays.next(random));
 }
 
 void config_follower_private::bringIntoForce()
--- a/src/member/entry_directory.cpp
+++ b/src/member/entry_directory.cpp
@@ -1,11 +1,12 @@
 #include "member/entry_directory.h"
 
-#include "member/backoff.h"
+#include "base/backoff.h"
 #include "member/retry_budget.h"
 
 #include <absl/container/flat_hash_set.h>
 
 #include <map>
+#include <random>
 #include <utility>
 
 namespace teaselward
@@ -36,6 +37,7 @@
     entry_directory_private(const entry_directory_settings &directorySettings, mono_time now)
         : settings(directorySettings)
         , budget(directorySettings.retryBurst, directorySettings.retryInterval, now)
+        , random(directorySettings.seed)
     {
     }
 
@@ -43,12 +45,12 @@
     retry_budget budget;
     std::map<std::string, address_record, std::less<>> records;
     absl::flat_hash_set<std::string> excluded;
-    std::uint64_t created = 0;
+    std::mt19937_64 random;
 
-    // Adds a record that is due at once. Each backoff gets a seed of its own, so that their delays differ.
+    // Adds a record that is due at once.
     address_record &add(const std::string &address, mono_time now)
     {
-        const backoff delay(settings.firstDelay, settings.reconnectLimit, settings.seed + ++created);
+        const backoff delay(settings.firstDelay, settings.reconnectLimit);
         return records.emplace(address, address_record{false, address_state::waiting, now, now, {}, delay}).first->second;
     }
 
@@ -165,7 +167,7 @@
         record.reached = now;
     }
     record.state = detail::address_state::waiting;
-    record.due = now + record.delay.next();
+    record.due = now + record.delay.next(d->random);
 }
 
 std::vector<std::string> entry_directory::connected() const
--- /dev/null
+++ b/src/proc/agent_process.cpp
@@ -0,0 +1,115 @@
+#include "proc/agent_process.h"
+
+#include "agent/agent_core.h"
+#include "base/bounded_ring.h"
+#include "base/due_timer.h"
+#include "base/duty_thread.h"
+#include "http/endpoint_client.h"
+#include "proc/action_routes.h"
+#include "proc/agent_parts.h"
+#include "proc/duty_loop.h"
+#include "rpc/agent_rpc.h"
+
+#include <absl/synchronization/notification.h>
+
+#include <atomic>
+#include <type_traits>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace detail
+{
+
+class agent_process_private
+{
+public:
+    using loop = duty_loop<agent_core, agent_event, agent_action>;
+
+    agent_process_private(const agent_settings &given, const agent_info &self, decision_log &log)
+        : settings(given)
+        , core(agentCoreSettings(given, self), log)
+        , endpoint(endpointClientSettings(given), events, log)
+        , rpc(agentRpcSettings(given, self), events, log)
+    {
+    }
+
+    ~agent_process_private()
+    {
+        endpoint.stop();
+        rpc.stop();
+        timer.stop();
+        events.close();
+    }
+
+    // Names the adapter of each action; the RPC adapter takes all that have no other.
+    template<typename Action>
+    static constexpr bool (agent_process_private::*route())(agent_action &)
+    {
+        if constexpr (std::is_same_v<Action, call_endpoint>) {
+            return &agent_process_private::toEndpoint;
+        } else if constexpr (std::is_same_v<Action, finish_agent_drain>) {
+            return &agent_process_private::toStop;
+        } else {
+            return &agent_process_private::toRpc;
+        }
+    }
+
+    bool toEndpoint(agent_action &action)
+    {
+        return endpoint.post(std::move(std::get<call_endpoint>(action)));
+    }
+
+    bool toRpc(agent_action &action)
+    {
+        return rpc.post(std::move(action));
+    }
+
+    bool toStop(agent_action & /*action*/)
+    {
+        if (!stopSignalled.exchange(true)) {
+            stopped.Notify();
+        }
+        return true;
+    }
+
+    static constexpr std::size_t EventCapacity = 1024;
+
+    const agent_settings settings;
+    bounded_ring<agent_event> events{EventCapacity};
+    absl::Notification stopped;
+    std::atomic<bool> stopSignalled{false};
+    agent_core core;
+    due_timer timer{[this] {
+        events.push(agent_timer_fired{});
+    }};
+    endpoint_client endpoint;
+    agent_rpc rpc;
+    duty_thread decision{"decision", [this] {
+                             loop(core, events, timer, [this](agent_action &action) {
+                                 return action_routes<agent_process_private, agent_action>::deliver(*this, action);
+                             }).run();
+                         }};
+};
+
+} // namespace detail
+
+agent_process::agent_process(const agent_settings &settings, decision_log &log)
+    : d(std::make_unique<detail::agent_process_private>(settings, agentInfo(settings), log))
+{
+}
+
+agent_process::~agent_process() = default;
+
+void agent_process::requestStop()
+{
+    d->events.push(agent_drain_started{d->settings.drainBound});
+}
+
+void agent_process::waitForStop()
+{
+    d->stopped.WaitForNotification();
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/proc/entry_parts.cpp
@@ -0,0 +1,56 @@
+#include "proc/entry_parts.h"
+
+#include "proc/incarnation.h"
+
+namespace teaselward
+{
+
+entry_info entryInfo(const entry_settings &settings)
+{
+    return entry_info{entry_id{makeIncarnation()}, settings.peersListen, settings.failureDomain};
+}
+
+entry_core_settings coreSettings(const entry_settings &settings, const entry_info &self)
+{
+    entry_core_settings result;
+    result.self = self;
+    result.ticketLifetime = settings.ticketLifetime;
+    result.sessionLease = settings.lease;
+    result.strategy = settings.strategy;
+    result.seed = self.id.value;
+    return result;
+}
+
+front_end_settings frontEndSettings(const entry_settings &settings)
+{
+    front_end_settings result;
+    result.listen = settings.callersListen;
+    result.adminListen = settings.operatorsListen;
+    result.adminToken = settings.operatorsToken;
+    result.ticketKey = settings.ticketKey;
+    result.bodyLimit = settings.bodyLimit;
+    result.connectionLimit = settings.connectionLimit;
+    result.idleTimeout = settings.idleTimeout;
+    return result;
+}
+
+entry_rpc_settings entryRpcSettings(const entry_settings &settings, const entry_info &self, snapshot_source &snapshots)
+{
+    entry_rpc_settings result;
+    result.self = self;
+    result.peers = settings.peers;
+    result.snapshots = &snapshots;
+    result.lease = settings.lease;
+    result.heartbeat = settings.heartbeat;
+    return result;
+}
+
+config_follower_settings followerSettings(const entry_settings &settings)
+{
+    config_follower_settings result;
+    result.stream = settings.logStream;
+    result.retention = settings.logRetention;
+    return result;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/proc/entry_process.cpp
@@ -0,0 +1,135 @@
+#include "proc/entry_process.h"
+
+#include "base/bounded_ring.h"
+#include "base/due_timer.h"
+#include "base/duty_thread.h"
+#include "config/config_follower.h"
+#include "http/front_end.h"
+#include "job/entry_core.h"
+#include "proc/action_routes.h"
+#include "proc/duty_loop.h"
+#include "proc/entry_parts.h"
+#include "proc/shared_config.h"
+#include "rpc/entry_rpc.h"
+
+#include <absl/synchronization/notification.h>
+
+#include <atomic>
+#include <type_traits>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace detail
+{
+
+class entry_process_private
+{
+public:
+    using loop = duty_loop<entry_core, entry_event, entry_action>;
+
+    entry_process_private(const entry_settings &given, const entry_info &self, platform_log &platform, decision_log &log)
+        : settings(given)
+        , core(coreSettings(given, self), mono_clock::now(), log)
+        , frontEnd(frontEndSettings(given), events, log)
+        , rpc(entryRpcSettings(given, self, sharedConfig), events, log)
+        , follower(followerSettings(given), platform, events, log, &sharedConfig)
+    {
+        sharedConfig.setOwn([this] {
+            return follower.snapshot();
+        });
+    }
+
+    ~entry_process_private()
+    {
+        frontEnd.stop();
+        sharedConfig.setOwn(nullptr);
+        follower.stop();
+        rpc.stop();
+        timer.stop();
+        events.close();
+    }
+
+    // Names the adapter of each action; the RPC adapter takes all that have no other.
+    template<typename Action>
+    static constexpr bool (entry_process_private::*route())(entry_action &)
+    {
+        if constexpr (std::is_same_v<Action, reply_tickets> || std::is_same_v<Action, reply_status>) {
+            return &entry_process_private::toFrontEnd;
+        } else if constexpr (std::is_same_v<Action, reply_job>) {
+            return &entry_process_private::toRequester;
+        } else if constexpr (std::is_same_v<Action, finish_drain>) {
+            return &entry_process_private::toStop;
+        } else {
+            return &entry_process_private::toRpc;
+        }
+    }
+
+    bool toFrontEnd(entry_action &action)
+    {
+        frontEnd.post(std::move(action));
+        return true;
+    }
+
+    bool toRpc(entry_action &action)
+    {
+        return rpc.post(std::move(action));
+    }
+
+    // Sends an answer back the way its request came.
+    bool toRequester(entry_action &action)
+    {
+        const bool fromPeer = std::get<reply_job>(action).request.origin == request_origin::peer;
+        return fromPeer ? toRpc(action) : toFrontEnd(action);
+    }
+
+    bool toStop(entry_action & /*action*/)
+    {
+        if (!stopSignalled.exchange(true)) {
+            stopped.Notify();
+        }
+        return true;
+    }
+
+    static constexpr std::size_t EventCapacity = 8192;
+
+    const entry_settings settings;
+    bounded_ring<entry_event> events{EventCapacity};
+    absl::Notification stopped;
+    std::atomic<bool> stopSignalled{false};
+    entry_core core;
+    due_timer timer{[this] {
+        events.push(timer_fired{});
+    }};
+    shared_config sharedConfig;
+    front_end frontEnd;
+    entry_rpc rpc;
+    config_follower follower;
+    duty_thread decision{"decision", [this] {
+                             loop(core, events, timer, [this](entry_action &action) {
+                                 return action_routes<entry_process_private, entry_action>::deliver(*this, action);
+                             }).run();
+                         }};
+};
+
+} // namespace detail
+
+entry_process::entry_process(const entry_settings &settings, platform_log &platform, decision_log &log)
+    : d(std::make_unique<detail::entry_process_private>(settings, entryInfo(settings), platform, log))
+{
+}
+
+entry_process::~entry_process() = default;
+
+void entry_process::requestStop()
+{
+    d->events.push(drain_started{d->settings.drainBound});
+}
+
+void entry_process::waitForStop()
+{
+    d->stopped.WaitForNotification();
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/proc/shared_config.cpp
@@ -0,0 +1,55 @@
+#include "proc/shared_config.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaselward
+{
+
+void shared_config::setOwn(own_function own)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_own = std::move(own);
+}
+
+std::optional<config_copy> shared_config::ownCopy() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_own ? m_own() : std::nullopt;
+}
+
+std::uint64_t shared_config::offset() const
+{
+    const auto own = ownCopy();
+    return own ? own->offset : 0;
+}
+
+config_snapshot shared_config::copy() const
+{
+    auto own = ownCopy();
+    return own ? config_snapshot{own->offset, std::move(own->text)} : config_snapshot{};
+}
+
+// A copy that is not newer than both known ones would only cost its transfer.
+bool shared_config::wants(std::uint64_t offset) const
+{
+    const std::uint64_t own = this->offset();
+    absl::MutexLock lock(&m_mutex);
+    return offset > std::max(own, m_received ? m_received->offset : 0);
+}
+
+void shared_config::receive(config_snapshot snapshot)
+{
+    absl::MutexLock lock(&m_mutex);
+    if (!m_received || snapshot.offset > m_received->offset) {
+        m_received = config_copy{snapshot.offset, std::move(snapshot.text)};
+    }
+}
+
+std::optional<config_copy> shared_config::newest()
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_received;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/proc/signal_watch.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class signal_watch_private;
+}
+
+/**
+ * Thread that waits for SIGTERM and SIGINT. It must be created before any other thread, so that every thread inherits the
+ * blocked signals.
+ */
+class signal_watch
+{
+public:
+    /**
+     * Blocks the signals and starts the thread.
+     * @param requestStop called for each signal
+     */
+    explicit signal_watch(std::function<void()> requestStop);
+    ~signal_watch();
+
+    signal_watch(const signal_watch &) = delete;
+    signal_watch &operator=(const signal_watch &) = delete;
+
+private:
+    std::unique_ptr<detail::signal_watch_private> d;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/proc/stop_request.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <functional>
+
+namespace teaselward
+{
+
+/** Passes a stop signal on to a process that may not have started yet or may have ended already. */
+class stop_request
+{
+public:
+    /** Records a signal and calls the connected function, if any. */
+    void signal()
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_signalled = true;
+        callTarget();
+    }
+
+    /**
+     * Connects the function that begins the shutdown. It is called at once if a signal came before.
+     * @param target the function
+     */
+    void connect(std::function<void()> target)
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_target = std::move(target);
+        callTarget();
+    }
+
+    /** Drops the function; later signals have no effect. */
+    void disconnect()
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_target = nullptr;
+    }
+
+private:
+    void callTarget() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+    {
+        if (m_signalled && m_target) {
+            m_target();
+        }
+    }
+
+    absl::Mutex m_mutex;
+    bool m_signalled ABSL_GUARDED_BY(m_mutex) = false;
+    std::function<void()> m_target ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace teaselward
--- a/src/rpc/agent_session.cpp
+++ b/src/rpc/agent_session.cpp
@@ -11,7 +11,7 @@
 namespace teaselward
 {
 
-agent_session::agent_session(entry_context &context, std::uint64_t link, agent_info info, wire::AgentPort::Client port)
+agent_session::agent_session(entry_rpc_context &context, std::uint64_t link, agent_info info, wire::AgentPort::Client port)
     : m_context(context)
     , m_link(link)
     , m_info(std::move(info))
--- a/src/rpc/agent_session.h
+++ b/src/rpc/agent_session.h
@@ -2,7 +2,7 @@
 
 #include "core/agent_info.h"
 #include "core/start_order.h"
-#include "rpc/entry_context.h"
+#include "rpc/entry_rpc_context.h"
 #include "rpc/link_user.h"
 #include "rpc/wire.capnp.h"
 
@@ -28,7 +28,7 @@
      * @param info announcement of the agent
      * @param port capability of the agent
      */
-    agent_session(entry_context &context, std::uint64_t link, agent_info info, wire::AgentPort::Client port);
+    agent_session(entry_rpc_context &context, std::uint64_t link, agent_info info, wire::AgentPort::Client port);
 
     /** Replaces an older session of the same incarnation and reports the agent. */
     void join();
@@ -66,7 +66,7 @@
     void failTask(std::uint64_t number);
     void taskFailed(kj::Exception &&exception) override;
 
-    entry_context &m_context;
+    entry_rpc_context &m_context;
     std::uint64_t m_link;
     agent_info m_info;
     wire::AgentPort::Client m_port;
--- a/src/rpc/entry_loop.cpp
+++ b/src/rpc/entry_loop.cpp
@@ -4,9 +4,9 @@
 #include "rpc/agent_session.h"
 #include "rpc/command_pump.h"
 #include "rpc/dialer.h"
-#include "rpc/entry_context.h"
 #include "rpc/entry_gate.h"
 #include "rpc/entry_port.h"
+#include "rpc/entry_rpc_context.h"
 #include "rpc/forwarder.h"
 #include "rpc/peer_session.h"
 #include "rpc/peer_table.h"
@@ -80,7 +80,7 @@
     peer_table m_peers;
     forwarder m_forwards;
     link_table m_links;
-    entry_context m_context;
+    entry_rpc_context m_context;
     dialer m_dialer;
     command_pump<entry_action> m_pump;
     kj::TaskSet m_tasks;
--- a/src/rpc/entry_port.cpp
+++ b/src/rpc/entry_port.cpp
@@ -15,7 +15,7 @@
 namespace teaselward
 {
 
-entry_port::entry_port(entry_context &context, std::weak_ptr<peer_session> session)
+entry_port::entry_port(entry_rpc_context &context, std::weak_ptr<peer_session> session)
     : m_context(context)
     , m_session(std::move(session))
 {
--- a/src/rpc/entry_context.h
+++ b/src/rpc/entry_rpc_context.h
@@ -20,7 +20,7 @@
 class peer_table;
 
 /** What the sessions of an entry share. */
-struct entry_context {
+struct entry_rpc_context {
     const entry_rpc_settings &settings;
     const entry_info &self;
     bounded_ring<entry_event> &events;
--- a/src/rpc/forwarder.cpp
+++ b/src/rpc/forwarder.cpp
@@ -57,7 +57,7 @@
 
 } // namespace
 
-forwarder::forwarder(entry_context &context)
+forwarder::forwarder(entry_rpc_context &context)
     : m_context(context)
 {
 }
--- /dev/null
+++ b/src/settings/agent_settings.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Settings of an agent process. */
+struct agent_settings {
+    std::string role;
+    std::string failureDomain;
+    bool logDecisions = true;
+    std::string endpointAddress;
+    std::vector<std::string> kinds;
+    std::uint32_t slots = 8;
+    std::uint32_t connections = 64;
+    std::uint32_t resultLimit = 4U << 20U;
+    std::chrono::milliseconds connectTimeout = std::chrono::seconds(1);
+    std::vector<std::string> entries;
+    std::chrono::milliseconds lease = std::chrono::seconds(2);
+    std::chrono::milliseconds heartbeat = std::chrono::milliseconds(500);
+    std::chrono::milliseconds reconnectLimit = std::chrono::seconds(2);
+    std::chrono::milliseconds retention = std::chrono::minutes(15);
+    std::chrono::milliseconds drainBound = std::chrono::seconds(30);
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/settings/load_settings.cpp
@@ -0,0 +1,105 @@
+#include "settings/load_settings.h"
+
+#include "settings/read_settings.h"
+#include "settings/settings_tables.h"
+
+#include <fstream>
+#include <iterator>
+#include <optional>
+#include <string_view>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// A short secret could be found by trying all of them.
+constexpr std::size_t ShortestSecret = 16;
+
+constexpr std::string_view RoleKey = "process.role";
+
+std::optional<std::string> readText(const std::string &path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream) {
+        return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(stream), {});
+}
+
+bool isLoopback(std::string_view address)
+{
+    return address.starts_with("127.") || address.starts_with("[::1]");
+}
+
+// Adds an error unless a condition holds that spans more than the form of one value.
+template<typename Settings>
+void require(bool condition, const settings_file &file, std::string_view key, std::string text, settings_result<Settings> &result)
+{
+    if (!condition) {
+        result.errors.push_back(file.errorAt(key, std::move(text)));
+    }
+}
+
+void checkTogether(const settings_file &file, settings_result<entry_settings> &result)
+{
+    const entry_settings &settings = result.settings;
+    require(settings.role == "entry", file, RoleKey, "must be entry", result);
+    require(settings.ticketKey.size() >= ShortestSecret, file, "tickets.key", "must have at least 16 characters", result);
+    require(settings.heartbeat * 2 <= settings.lease, file, "peers.heartbeat", "must be at most half of peers.lease", result);
+    const bool open = !settings.operatorsListen.empty() && !isLoopback(settings.operatorsListen);
+    require(!open || settings.operatorsToken.size() >= ShortestSecret,
+            file,
+            "operators.token",
+            "must have at least 16 characters unless operators.listen is a loopback address",
+            result);
+}
+
+void checkTogether(const settings_file &file, settings_result<agent_settings> &result)
+{
+    const agent_settings &settings = result.settings;
+    require(settings.role == "agent", file, RoleKey, "must be agent", result);
+    require(settings.heartbeat * 2 <= settings.lease, file, "peers.heartbeat", "must be at most half of peers.lease", result);
+    require(settings.slots <= settings.connections, file, "endpoint.slots", "must be at most endpoint.connections", result);
+}
+
+template<typename Settings>
+settings_result<Settings> load(const std::string &path, std::span<const setting_spec<Settings>> table)
+{
+    const auto text = readText(path);
+    if (!text) {
+        settings_result<Settings> result;
+        result.errors.push_back(settings_error{path, 0, "", "cannot be read"});
+        return result;
+    }
+    const settings_file file(path, *text);
+    auto result = readSettings<Settings>(file, table);
+    if (!file.syntaxError()) {
+        checkTogether(file, result);
+    }
+    return result;
+}
+
+} // namespace
+
+settings_result<entry_settings> loadEntrySettings(const std::string &path)
+{
+    return load<entry_settings>(path, entrySettingsTable());
+}
+
+settings_result<agent_settings> loadAgentSettings(const std::string &path)
+{
+    return load<agent_settings>(path, agentSettingsTable());
+}
+
+std::vector<settings_error> checkSettings(const std::string &path)
+{
+    const auto text = readText(path);
+    if (text && settings_file(path, *text).value(RoleKey) == "agent") {
+        return loadAgentSettings(path).errors;
+    }
+    return loadEntrySettings(path).errors;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/settings/read_settings.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "settings/setting_spec.h"
+#include "settings/setting_value.h"
+#include "settings/settings_file.h"
+#include "settings/settings_result.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace teaselward
+{
+
+namespace detail
+{
+
+/** Converts the text of one setting and stores it; one overload for each type of member. */
+template<typename Settings>
+class setting_writer
+{
+public:
+    setting_writer(const setting_spec<Settings> &spec, Settings &settings)
+        : m_spec(spec)
+        , m_settings(settings)
+    {
+    }
+
+    /**
+     * Stores a value.
+     * @param text text of the value
+     * @return what is wrong with it, or nothing
+     */
+    std::optional<std::string> write(const std::string &text)
+    {
+        return std::visit(
+            [this, &text](auto member) {
+                return store(member, text);
+            },
+            m_spec.member);
+    }
+
+private:
+    std::optional<std::string> store(std::string Settings::*member, const std::string &text)
+    {
+        if (m_spec.form == setting_form::address && !isAddress(text)) {
+            return "not an address of the form IP:PORT";
+        }
+        m_settings.*member = text;
+        return std::nullopt;
+    }
+
+    std::optional<std::string> store(std::vector<std::string> Settings::*member, const std::string &text)
+    {
+        const auto words = parseList(text);
+        if (m_spec.form == setting_form::addresses && !std::all_of(words.begin(), words.end(), isAddress)) {
+            return "not a list of addresses of the form IP:PORT";
+        }
+        m_settings.*member = words;
+        return std::nullopt;
+    }
+
+    std::optional<std::string> store(std::chrono::milliseconds Settings::*member, const std::string &text)
+    {
+        const auto duration = parseDuration(text);
+        if (!duration) {
+            return "not a duration such as 500ms, 10s, 2m or 24h";
+        }
+        if (duration->count() < m_spec.least || duration->count() > m_spec.most) {
+            return absl::StrCat("out of range ", m_spec.least, "ms to ", m_spec.most, "ms");
+        }
+        m_settings.*member = *duration;
+        return std::nullopt;
+    }
+
+    std::optional<std::string> store(std::uint32_t Settings::*member, const std::string &text)
+    {
+        const auto number = parseNumber(text);
+        if (!number) {
+            return "not a whole number";
+        }
+        if (*number < m_spec.least || *number > m_spec.most) {
+            return absl::StrCat("out of range ", m_spec.least, " to ", m_spec.most);
+        }
+        m_settings.*member = *number;
+        return std::nullopt;
+    }
+
+    std::optional<std::string> store(bool Settings::*member, const std::string &text)
+    {
+        const auto flag = parseFlag(text);
+        if (!flag) {
+            return "not yes or no";
+        }
+        m_settings.*member = *flag;
+        return std::nullopt;
+    }
+
+    const setting_spec<Settings> &m_spec;
+    Settings &m_settings;
+};
+
+} // namespace detail
+
+/**
+ * Reads settings by a table and checks the file as a whole, so that every error is reported at once.
+ * @param file the file
+ * @param specs table of the settings
+ * @return settings and errors
+ */
+template<typename Settings>
+settings_result<Settings> readSettings(const settings_file &file, std::span<const setting_spec<Settings>> specs)
+{
+    settings_result<Settings> result;
+    if (file.syntaxError()) {
+        result.errors.push_back(*file.syntaxError());
+        return result;
+    }
+    for (const std::string &key : file.keys()) {
+        const auto spec = std::find_if(specs.begin(), specs.end(), [&key](const auto &candidate) {
+            return candidate.key == key;
+        });
+        if (spec == specs.end()) {
+            result.errors.push_back(file.errorAt(key, "unknown key"));
+            continue;
+        }
+        const auto fault = detail::setting_writer<Settings>(*spec, result.settings).write(*file.value(key));
+        if (fault) {
+            result.errors.push_back(file.errorAt(key, *fault));
+        }
+    }
+    for (const auto &spec : specs) {
+        if (spec.required && !file.value(spec.key)) {
+            result.errors.push_back(file.errorAt(spec.key, "missing"));
+        }
+    }
+    return result;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/settings/setting_form.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** Form that the text of a setting must have. */
+enum class setting_form : std::uint8_t {
+    text, ///< Any text.
+    address, ///< IP:PORT.
+    addresses, ///< IP:PORT, separated by commas.
+    names, ///< Words, separated by commas.
+    duration, ///< Number with unit, such as 500ms, 10s, 2m or 24h.
+    number, ///< Whole number.
+    flag, ///< yes or no.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/settings/setting_spec.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "settings/setting_form.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Member of a settings struct that a key fills. */
+template<typename Settings>
+using setting_member = std::
+    variant<std::string Settings::*, std::vector<std::string> Settings::*, std::chrono::milliseconds Settings::*, std::uint32_t Settings::*, bool Settings::*>;
+
+/** One row of the table of settings. The range holds for durations (milliseconds) and for numbers. */
+template<typename Settings>
+struct setting_spec {
+    std::string_view key; ///< SECTION.KEY.
+    setting_form form = setting_form::text;
+    setting_member<Settings> member;
+    bool required = false;
+    std::int64_t least = 0;
+    std::int64_t most = 0;
+    std::string_view help;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/settings/settings_tables.cpp
@@ -0,0 +1,73 @@
+#include "settings/settings_tables.h"
+
+#include <array>
+
+namespace teaselward
+{
+
+namespace
+{
+
+using entry_row = setting_spec<entry_settings>;
+using agent_row = setting_spec<agent_settings>;
+using form = setting_form;
+
+constexpr std::int64_t Second = 1000;
+constexpr std::int64_t Minute = 60 * Second;
+constexpr std::int64_t Hour = 60 * Minute;
+constexpr std::int64_t MaxBytes = 64 << 20;
+
+const std::array EntryTable = {
+    entry_row{"process.role", form::text, &entry_settings::role, true, 0, 0, "entry"},
+    entry_row{"process.failure_domain", form::text, &entry_settings::failureDomain, true, 0, 0, "failure domain of this VM"},
+    entry_row{"process.log_decisions", form::flag, &entry_settings::logDecisions, false, 0, 0, "write a line for each decision"},
+    entry_row{"callers.listen", form::address, &entry_settings::callersListen, true, 0, 0, "address for callers"},
+    entry_row{"callers.body_limit", form::number, &entry_settings::bodyLimit, false, 1024, MaxBytes, "bytes of one request"},
+    entry_row{"callers.connection_limit", form::number, &entry_settings::connectionLimit, false, 1, 65536, "connections at once"},
+    entry_row{"callers.idle_timeout", form::duration, &entry_settings::idleTimeout, false, Second, Hour, "closes a connection without traffic"},
+    entry_row{"operators.listen", form::address, &entry_settings::operatorsListen, false, 0, 0, "address for operators; none if absent"},
+    entry_row{"operators.token", form::text, &entry_settings::operatorsToken, false, 0, 0, "bearer token; required unless the address is loopback"},
+    entry_row{"peers.listen", form::address, &entry_settings::peersListen, true, 0, 0, "address for agents and entries"},
+    entry_row{"peers.entries", form::addresses, &entry_settings::peers, false, 0, 0, "other entries"},
+    entry_row{"peers.lease", form::duration, &entry_settings::lease, false, 200, Minute, "a session without a message for this time is lost"},
+    entry_row{"peers.heartbeat", form::duration, &entry_settings::heartbeat, false, 50, Minute, "sent after this time without another message"},
+    entry_row{"tickets.key", form::text, &entry_settings::ticketKey, true, 0, 0, "secret shared by all entries"},
+    entry_row{"tickets.lifetime", form::duration, &entry_settings::ticketLifetime, false, Second, 10 * Minute, "time in which a ticket may be used"},
+    entry_row{"log.url", form::text, &entry_settings::logUrl, true, 0, 0, "URL of the platform log"},
+    entry_row{"log.stream", form::text, &entry_settings::logStream, false, 0, 0, "stream of the configuration"},
+    entry_row{"log.retention", form::duration, &entry_settings::logRetention, false, Minute, 8760 * Hour, "time that the platform keeps records"},
+    entry_row{"drain.bound", form::duration, &entry_settings::drainBound, false, 0, Hour, "longest graceful shutdown"},
+    entry_row{"placement.strategy", form::text, &entry_settings::strategy, false, 0, 0, "credits, least_outstanding, two_choices or random"},
+};
+
+const std::array AgentTable = {
+    agent_row{"process.role", form::text, &agent_settings::role, true, 0, 0, "agent"},
+    agent_row{"process.failure_domain", form::text, &agent_settings::failureDomain, true, 0, 0, "failure domain of this VM"},
+    agent_row{"process.log_decisions", form::flag, &agent_settings::logDecisions, false, 0, 0, "write a line for each decision"},
+    agent_row{"endpoint.address", form::address, &agent_settings::endpointAddress, true, 0, 0, "address of the endpoint"},
+    agent_row{"endpoint.kinds", form::names, &agent_settings::kinds, true, 0, 0, "kinds that the endpoint offers"},
+    agent_row{"endpoint.slots", form::number, &agent_settings::slots, false, 1, 1024, "tasks at once"},
+    agent_row{"endpoint.connections", form::number, &agent_settings::connections, false, 1, 4096, "connections at once"},
+    agent_row{"endpoint.result_limit", form::number, &agent_settings::resultLimit, false, 1024, MaxBytes, "bytes of one result"},
+    agent_row{"endpoint.connect_timeout", form::duration, &agent_settings::connectTimeout, false, 10, Minute, "longest wait for a connection"},
+    agent_row{"peers.entries", form::addresses, &agent_settings::entries, true, 0, 0, "entries; further ones are learnt from these"},
+    agent_row{"peers.lease", form::duration, &agent_settings::lease, false, 200, Minute, "a session without a message for this time is lost"},
+    agent_row{"peers.heartbeat", form::duration, &agent_settings::heartbeat, false, 50, Minute, "sent after this time without another message"},
+    agent_row{"peers.reconnect_limit", form::duration, &agent_settings::reconnectLimit, false, 50, Minute, "longest delay between attempts"},
+    agent_row{"ledger.retention", form::duration, &agent_settings::retention, false, 15 * Minute, 24 * Hour, "time that a record of a start is kept"},
+    agent_row{"drain.bound", form::duration, &agent_settings::drainBound, false, 0, Hour, "longest graceful shutdown"},
+};
+
+} // namespace
+
+std::span<const setting_spec<entry_settings>> entrySettingsTable()
+{
+    return EntryTable;
+}
+
+std::span<const setting_spec<agent_settings>> agentSettingsTable()
+{
+    return AgentTable;
+}
+
+} // namespace teaselward
--- a/tests/job/backoff_test.cpp
+++ b/tests/base/backoff_test.cpp
@@ -1,4 +1,4 @@
-#include "job/backoff.h"
+#include "base/backoff.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -12,7 +12,7 @@
 // Guards against retries at a fixed pace, which would load an agent that is already slow.
 BOOST_AUTO_TEST_CASE(delaysGrowUpToTheLimit)
 {
-    job_random random(1);
+    std::minstd_rand random(1);
     backoff delays(100ms, 400ms);
     const auto isWithin = [&](std::chrono::milliseconds whole) {
         const auto delay = delays.next(random);
@@ -22,12 +22,14 @@
     BOOST_TEST(isWithin(200ms));
     BOOST_TEST(isWithin(400ms));
     BOOST_TEST(isWithin(400ms));
+    delays.reset();
+    BOOST_TEST(isWithin(100ms));
 }
 
 // Guards against many retries at the same instant.
 BOOST_AUTO_TEST_CASE(delaysDiffer)
 {
-    job_random random(1);
+    std::minstd_rand random(1);
     std::set<std::chrono::milliseconds> delays;
     for (int i = 0; i < 20; ++i) {
         delays.insert(backoff(100ms, 400ms).next(random));
@@ -38,7 +40,7 @@
 // Guards against a delay of zero, which would make the timer fire without a break.
 BOOST_AUTO_TEST_CASE(noDelayIsZero)
 {
-    job_random random(1);
+    std::minstd_rand random(1);
     BOOST_TEST(backoff(0ms, 0ms).next(random).count() > 0);
 }
 
--- /dev/null
+++ b/tests/process/child_process.cpp
@@ -0,0 +1,94 @@
+#include "process/child_process.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <stdexcept>
+
+extern char **environ;
+
+namespace teaselward::testing
+{
+
+namespace
+{
+
+constexpr int ReadyTimeoutMs = 60000;
+
+std::string readLine(int descriptor)
+{
+    std::string line;
+    pollfd ready{descriptor, POLLIN, 0};
+    char letter = 0;
+    while (::poll(&ready, 1, ReadyTimeoutMs) == 1 && ::read(descriptor, &letter, 1) == 1) {
+        if (letter == '\n') {
+            return line;
+        }
+        line += letter;
+    }
+    throw std::runtime_error("program is not ready: " + line);
+}
+
+} // namespace
+
+child_process::child_process(const std::vector<std::string> &arguments)
+{
+    std::array<int, 2> channel{};
+    if (::pipe2(channel.data(), O_CLOEXEC) != 0) {
+        throw std::runtime_error("pipe2");
+    }
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, channel[1], STDOUT_FILENO);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
+    std::vector<char *> pointers;
+    for (const std::string &argument : arguments) {
+        pointers.push_back(const_cast<char *>(argument.c_str()));
+    }
+    pointers.push_back(nullptr);
+    const int result = ::posix_spawn(&m_id, pointers[0], &actions, nullptr, pointers.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    ::close(channel[1]);
+    m_output = channel[0];
+    if (result != 0) {
+        ::close(m_output);
+        throw std::runtime_error("cannot start " + arguments[0]);
+    }
+    m_firstLine = readLine(m_output);
+}
+
+child_process::~child_process()
+{
+    if (m_id > 0) {
+        ::kill(m_id, SIGKILL);
+        ::kill(m_id, SIGCONT);
+        ::waitpid(m_id, nullptr, 0);
+    }
+    ::close(m_output);
+}
+
+void child_process::signal(int number) const
+{
+    ::kill(m_id, number);
+}
+
+int child_process::wait()
+{
+    int status = 0;
+    ::waitpid(m_id, &status, 0);
+    m_id = -1;
+    constexpr int signalBase = 128;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : signalBase + WTERMSIG(status);
+}
+
+const std::string &child_process::firstLine() const
+{
+    return m_firstLine;
+}
+
+} // namespace teaselward::testing
--- /dev/null
+++ b/tests/process/deployment.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "process/child_process.h"
+
+#include <cstddef>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace teaselward::testing
+{
+
+/** Small deployment of real processes on loopback: a platform log stub, entries, and agents with an endpoint stub each. */
+class deployment
+{
+public:
+    /**
+     * Starts all processes, publishes a configuration and waits until every entry has rules and an endpoint.
+     * @param entries number of entries
+     * @param agents number of agents
+     * @param delayMs run time of every task in milliseconds
+     */
+    deployment(std::size_t entries, std::size_t agents, int delayMs);
+    ~deployment();
+
+    deployment(const deployment &) = delete;
+    deployment &operator=(const deployment &) = delete;
+
+    child_process &entry(std::size_t number);
+    child_process &agent(std::size_t number);
+
+    /** @return URL of the callers' listener of an entry, without a path */
+    std::string callers(std::size_t number) const;
+
+    /** @return URL of the operators' listener of an entry, without a path */
+    std::string operators(std::size_t number) const;
+
+    /** @return a ticket whose home is the entry */
+    std::string ticket(std::size_t number) const;
+
+    /** Starts an entry again after it has ended. */
+    void restartEntry(std::size_t number);
+
+    /** Waits until every entry that answers is ready and knows at least a number of endpoints. */
+    void waitUntilReady(std::size_t endpoints) const;
+
+private:
+    std::string write(const std::string &name, const std::string &text) const;
+    void startEntry(std::size_t number);
+    void startAgent(std::size_t number);
+
+    std::filesystem::path m_folder;
+    std::vector<std::string> m_callers;
+    std::vector<std::string> m_operators;
+    std::vector<std::string> m_peers;
+    std::string m_logAddress;
+    std::unique_ptr<child_process> m_log;
+    std::vector<std::unique_ptr<child_process>> m_entries;
+    std::vector<std::unique_ptr<child_process>> m_endpoints;
+    std::vector<std::unique_ptr<child_process>> m_agents;
+    std::vector<std::string> m_endpointAddresses;
+};
+
+} // namespace teaselward::testing
--- /dev/null
+++ b/tests/process/http_reply.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+namespace teaselward::testing
+{
+
+/** Answer to an HTTP request of a test. */
+struct http_reply {
+    long status = 0; ///< Zero if no answer came.
+    nlohmann::json body;
+};
+
+} // namespace teaselward::testing
--- /dev/null
+++ b/tests/process/processes_test.cpp
@@ -0,0 +1,141 @@
+#include "process/deployment.h"
+#include "process/http_caller.h"
+
+#include "base/duty_thread.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <thread>
+
+using namespace teaselward;
+using namespace teaselward::testing;
+
+namespace
+{
+
+constexpr int DelayMs = 400;
+constexpr std::chrono::milliseconds IntoTheJob{150};
+
+nlohmann::json job(const std::string &ticket, int tasks)
+{
+    nlohmann::json payloads = nlohmann::json::array();
+    for (int i = 0; i < tasks; ++i) {
+        payloads.push_back("payload " + std::to_string(i));
+    }
+    return {{"ticket", ticket}, {"team", "tests"}, {"kind", "check"}, {"time_limit_ms", 30000}, {"tasks", payloads}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(processes_test)
+
+// Guards against a path that works only between objects of one process.
+BOOST_AUTO_TEST_CASE(jobIsAnsweredThroughRealProcesses)
+{
+    deployment system(2, 2, DelayMs);
+    const std::string ticket = system.ticket(0);
+    const auto first = post(system.callers(0) + "/v1/jobs", job(ticket, 6));
+    BOOST_TEST(first.body.at("state") == "complete");
+    BOOST_TEST(first.body.at("results").at(5) == "PAYLOAD 5");
+    const auto again = post(system.callers(1) + "/v1/jobs", job(ticket, 6));
+    BOOST_TEST(again.body == first.body);
+}
+
+// Guards against a stop that cuts off a request in progress or ends with an error.
+BOOST_AUTO_TEST_CASE(entryDrainsOnTerm)
+{
+    deployment system(1, 1, DelayMs);
+    const std::string ticket = system.ticket(0);
+    http_reply reply;
+    {
+        duty_thread caller("caller", [&] {
+            reply = post(system.callers(0) + "/v1/jobs", job(ticket, 4));
+        });
+        std::this_thread::sleep_for(IntoTheJob);
+        system.entry(0).signal(SIGTERM);
+    }
+    BOOST_TEST(system.entry(0).wait() == 0);
+    // On a slow machine the signal may come before the job; then the refusal must say that nothing ran.
+    const bool refused = reply.body.at("state") == "refused" && reply.body.at("not_run") == true;
+    BOOST_TEST((reply.body.at("state") == "complete" || refused));
+}
+
+// Guards against an agent that drops tasks in progress when it leaves, or that never ends.
+BOOST_AUTO_TEST_CASE(agentDrainsOnTerm)
+{
+    deployment system(1, 2, DelayMs);
+    const std::string ticket = system.ticket(0);
+    http_reply reply;
+    {
+        duty_thread caller("caller", [&] {
+            reply = post(system.callers(0) + "/v1/jobs", job(ticket, 12));
+        });
+        std::this_thread::sleep_for(IntoTheJob);
+        system.agent(0).signal(SIGTERM);
+    }
+    BOOST_TEST(system.agent(0).wait() == 0);
+    BOOST_TEST(reply.body.at("state") == "complete");
+}
+
+// Guards against a job that is answered partly, or as not run, after its worker was killed.
+BOOST_AUTO_TEST_CASE(killedAgentLeavesAWholeAnswer)
+{
+    deployment system(1, 2, DelayMs);
+    const std::string ticket = system.ticket(0);
+    http_reply reply;
+    {
+        duty_thread caller("caller", [&] {
+            auto request = job(ticket, 8);
+            request["time_limit_ms"] = 6000;
+            reply = post(system.callers(0) + "/v1/jobs", request);
+        });
+        std::this_thread::sleep_for(IntoTheJob);
+        system.agent(0).signal(SIGKILL);
+    }
+    const std::string state = reply.body.at("state");
+    BOOST_TEST((state == "complete" || state == "failed"));
+    if (state == "failed") {
+        BOOST_TEST(reply.body.at("not_run") == false);
+        BOOST_TEST(!reply.body.contains("results"));
+    }
+    const auto later = post(system.callers(0) + "/v1/jobs", job(system.ticket(0), 2));
+    BOOST_TEST(later.body.at("state") == "complete");
+}
+
+// Guards against a second start, or a lost result, when an agent is stopped for longer than its lease and goes on.
+BOOST_AUTO_TEST_CASE(stoppedAgentGoesOn)
+{
+    deployment system(1, 1, DelayMs);
+    const std::string ticket = system.ticket(0);
+    http_reply reply;
+    {
+        duty_thread caller("caller", [&] {
+            reply = post(system.callers(0) + "/v1/jobs", job(ticket, 4));
+        });
+        std::this_thread::sleep_for(IntoTheJob);
+        system.agent(0).signal(SIGSTOP);
+        std::this_thread::sleep_for(std::chrono::seconds(4));
+        system.agent(0).signal(SIGCONT);
+    }
+    BOOST_TEST(reply.body.at("state") == "complete");
+}
+
+// Guards against tasks that run again, or a false "not run", when the home entry is killed and the job is resubmitted elsewhere.
+BOOST_AUTO_TEST_CASE(resubmissionAfterTheHomeWasKilled)
+{
+    deployment system(2, 2, DelayMs);
+    const std::string ticket = system.ticket(0);
+    {
+        duty_thread caller("caller", [&] {
+            post(system.callers(0) + "/v1/jobs", job(ticket, 4));
+        });
+        std::this_thread::sleep_for(IntoTheJob);
+        system.entry(0).signal(SIGKILL);
+    }
+    const auto reply = post(system.callers(1) + "/v1/jobs", job(ticket, 4));
+    const std::string state = reply.body.at("state");
+    BOOST_TEST((state == "complete" || (state == "failed" && reply.body.at("not_run") == false)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/scenario/agent_call.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/task_id.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace teaselward::testing
+{
+
+/** Call from an entry that an agent has not answered yet. */
+struct agent_call {
+    std::size_t entry = 0;
+    std::size_t agent = 0;
+    std::uint64_t generation = 0; ///< Of the session that carried the call.
+    ticket_id ticket;
+};
+
+} // namespace teaselward::testing
--- /dev/null
+++ b/tests/scenario/checker.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "core/task_id.h"
+#include "scenario/request_record.h"
+#include "scenario/task_run.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace teaselward::testing
+{
+
+/** Compares every answer with what ran. It knows nothing of the code under test but the values that cross its interface. */
+class checker
+{
+public:
+    /**
+     * Records that an endpoint started a task.
+     * @param id the task
+     * @param agent position of the agent
+     * @param now present time
+     */
+    void started(const task_id &id, std::size_t agent, mono_time now);
+
+    /**
+     * Records that an agent confirmed to start no further task of a ticket.
+     * @param ticket the ticket
+     * @param agent position of the agent
+     */
+    void fenced(const ticket_id &ticket, std::size_t agent);
+
+    /**
+     * Records that a task succeeded.
+     * @param id the task
+     * @param result result that the endpoint returned
+     */
+    void succeeded(const task_id &id, const std::string &result);
+
+    /**
+     * Records a start that an entry sent to an agent that had announced its leaving too long ago.
+     * @param agent position of the agent
+     */
+    void sentToLeaving(std::size_t agent);
+
+    /**
+     * Lists the violations of the invariants.
+     * @param requests all requests of all callers
+     * @param end present time; a request that should have an answer by now and has none is a violation
+     * @return one text for each violation
+     */
+    std::vector<std::string> violations(const std::vector<request_record> &requests, mono_time end) const;
+
+    /** @return number of starts of all tasks */
+    std::size_t starts() const;
+
+    /**
+     * Counts the starts of a ticket.
+     * @param ticket the ticket
+     */
+    std::size_t startsOf(const ticket_id &ticket) const;
+
+private:
+    void checkComplete(const request_record &request, std::vector<std::string> &found) const;
+    void checkAnswer(const request_record &request, std::vector<std::string> &found) const;
+
+    void checkStartTimes(const std::vector<request_record> &requests, std::vector<std::string> &found) const;
+
+    absl::flat_hash_map<task_id, task_run> m_runs;
+    absl::flat_hash_set<std::pair<ticket_id, std::size_t>> m_fences;
+    std::vector<std::string> m_immediate;
+};
+
+} // namespace teaselward::testing
--- /dev/null
+++ b/tests/scenario/peer_call.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "core/request_id.h"
+
+#include <cstddef>
+
+namespace teaselward::testing
+{
+
+/** Request that one entry forwarded to another one. */
+struct peer_call {
+    std::size_t from = 0;
+    std::size_t to = 0;
+    request_id request; ///< As the forwarding entry knows it.
+};
+
+} // namespace teaselward::testing
--- /dev/null
+++ b/tests/scenario/script_error.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <stdexcept>
+
+namespace teaselward::testing
+{
+
+/** Failed expectation or wrong call in a scenario script. */
+class script_error : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+} // namespace teaselward::testing
--- /dev/null
+++ b/tests/scenario/world.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "agent/agent_core.h"
+#include "job/entry_core.h"
+#include "log/null_log.h"
+#include "scenario/agent_call.h"
+#include "scenario/checker.h"
+#include "scenario/core_node.h"
+#include "scenario/endpoint_mode.h"
+#include "scenario/event_heap.h"
+#include "scenario/peer_call.h"
+#include "scenario/request_record.h"
+#include "scenario/session.h"
+#include "scenario/world_settings.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace teaselward::testing
+{
+
+/**
+ * Entries and agents on a faulty network in virtual time. It carries out the actions of the decision cores as the adapters do
+ * and injects the failures that a script asks for. Positions count from zero.
+ */
+class world
+{
+public:
+    explicit world(const world_settings &settings);
+
+    // Requests of callers.
+    std::vector<ticket> takeTickets(std::size_t entry, std::uint32_t count);
+    std::size_t submit(std::size_t entry, const job_request &job);
+    std::size_t query(std::size_t entry, const ticket &source, std::chrono::milliseconds wait);
+    std::size_t cancel(std::size_t entry, const ticket &source);
+    const request_record &request(std::size_t number) const;
+
+    // Failures of processes.
+    void killEntry(std::size_t entry);
+    void startEntry(std::size_t entry);
+    void pauseEntry(std::size_t entry);
+    void resumeEntry(std::size_t entry);
+    void drainEntry(std::size_t entry);
+    void killAgent(std::size_t agent);
+    void startAgent(std::size_t agent);
+    void pauseAgent(std::size_t agent);
+    void resumeAgent(std::size_t agent);
+    void drainAgent(std::size_t agent);
+    void setEndpoint(std::size_t agent, endpoint_mode mode);
+
+    // Failures of the network.
+    void cut(std::size_t entry, std::size_t agent);
+    void heal(std::size_t entry, std::size_t agent);
+    void cutEntries(std::size_t first, std::size_t second);
+    void healEntries(std::size_t first, std::size_t second);
+
+    // Guards that can be switched off, to show that the checker reports the violation.
+    void answerRevokesUnasked();
+    void forgetLedgers();
+    void answerFencesUnasked();
+
+    void applyRules(const rule_set &rules);
+    void run(std::chrono::milliseconds duration);
+    std::vector<std::string> violations() const;
+    const checker &record() const;
+    std::uint64_t random(std::uint64_t bound);
+    bool isDrained(std::size_t entry) const;
+    bool isAgentDrained(std::size_t agent) const;
+    std::size_t startsAt(std::size_t agent) const;
+
+private:
+    using entry_node = core_node<entry_core, entry_event, entry_action, timer_fired>;
+    using agent_node = core_node<agent_core, agent_event, agent_action, agent_timer_fired>;
+    using entry_performer = void (world::*)(std::size_t, entry_action &);
+    using agent_performer = void (world::*)(std::size_t, agent_action &);
+
+    static const std::vector<entry_performer> EntryPerformers;
+    static const std::vector<agent_performer> AgentPerformers;
+
+    // Actions of entries, in the order of the alternatives of entry_action.
+    void onReplyTickets(std::size_t entry, entry_action &action);
+    void onReplyJob(std::size_t entry, entry_action &action);
+    void onStartTask(std::size_t entry, entry_action &action);
+    void onRevokeTask(std::size_t entry, entry_action &action);
+    void onFenceTicket(std::size_t entry, entry_action &action);
+    void onForwardJob(std::size_t entry, entry_action &action);
+    void onForwardQuery(std::size_t entry, entry_action &action);
+    void onForwardCancel(std::size_t entry, entry_action &action);
+    void onSendDemand(std::size_t entry, entry_action &action);
+    void onReportUsage(std::size_t entry, entry_action &action);
+    void onReplyStatus(std::size_t entry, entry_action &action);
+    void onFinishDrain(std::size_t entry, entry_action &action);
+
+    // Actions of agents, in the order of the alternatives of agent_action.
+    void onAnswerStart(std::size_t agent, agent_action &action);
+    void onAnswerRevoke(std::size_t agent, agent_action &action);
+    void onAnswerFence(std::size_t agent, agent_action &action);
+    void onCallEndpoint(std::size_t agent, agent_action &action);
+    void onGrantCredits(std::size_t agent, agent_action &action);
+    void onAnnounceLeaving(std::size_t agent, agent_action &action);
+    void onFinishAgentDrain(std::size_t agent, agent_action &action);
+
+    session &link(std::size_t entry, std::size_t agent);
+    mono_time arrival();
+    void carry(std::size_t entry, std::size_t agent, std::function<void()> deliver);
+    call_id openCall(std::size_t entry, std::size_t agent, const ticket_id &ticket);
+    bool closeCall(const call_id &call, agent_call &closed);
+    void connect(std::size_t entry, std::size_t agent);
+    void connectLater(std::size_t entry, std::size_t agent);
+    void disconnect(std::size_t entry, std::size_t agent);
+    void joinPeers(std::size_t first, std::size_t second);
+    void losePeer(std::size_t entry, std::size_t lost);
+    void forward(std::size_t entry, const request_id &request, const ticket &source, std::function<entry_event(request_id)> make);
+    void failPeerCalls(std::size_t first, std::size_t second);
+    void leaseEnds(std::function<bool()> stillSilent, std::function<void()> act);
+    void endCall(std::size_t agent, std::uint64_t life, const task_id &id, task_outcome outcome, mono_time due);
+    std::size_t entryAt(const std::string &address) const;
+    std::size_t entryOf(const entry_id &id) const;
+    std::size_t agentOf(const agent_id &id) const;
+    bool isPeerCut(std::size_t first, std::size_t second) const;
+    std::size_t addRequest(request_record record);
+    void tellCaller(std::size_t number, const job_answer &answer);
+
+    const world_settings m_settings;
+    event_heap m_heap;
+    std::mt19937_64 m_random;
+    null_log m_log;
+    checker m_checker;
+    std::vector<std::unique_ptr<entry_node>> m_entries;
+    std::vector<std::unique_ptr<agent_node>> m_agents;
+    std::vector<entry_info> m_entryInfos;
+    std::vector<agent_info> m_agentInfos;
+    std::vector<endpoint_mode> m_modes;
+    std::vector<std::size_t> m_agentStarts;
+    std::vector<mono_time> m_leavingSince;
+    std::vector<bool> m_drained;
+    std::vector<bool> m_agentDrained;
+    std::vector<session> m_sessions;
+    std::set<std::pair<std::size_t, std::size_t>> m_peerCuts;
+    std::map<std::uint64_t, agent_call> m_calls; // Ordered, so that a seed replays exactly.
+    std::map<std::uint64_t, peer_call> m_peerCalls;
+    std::vector<request_record> m_requests;
+    std::vector<ticket> m_issued;
+    std::uint64_t m_sequence = 0;
+    std::shared_ptr<const rule_set> m_rules;
+    bool m_revokesUnasked = false;
+    bool m_fencesUnasked = false;
+    bool m_ledgersForgotten = false;
+};
+
+} // namespace teaselward::testing
--- /dev/null
+++ b/tests/scenarios/agent_death.lua
@@ -0,0 +1,13 @@
+-- Failure: a worker dies for good and its job hangs, or is answered although a result is missing.
+start{entries = 1, agents = 2, slots = 2}
+local ticket = tickets(0, 1)[1]
+local request = submit(0, {ticket = ticket, tasks = 4, ms = 1000, limit = 4000})
+run(100)
+fault("kill_agent", 0)
+run(6000)
+local got = answer(request)
+expect(got.state == "failed" and got.results == 0 and not got.not_run, "the job fails as a whole")
+local after = submit(0, {ticket = tickets(0, 1)[1], tasks = 2, ms = 100})
+run(1000)
+expect(answer(after).state == "complete", "the other worker serves on")
+expect(#violations() == 0, table.concat(violations(), "; "))
--- /dev/null
+++ b/tests/scenarios/agent_leaving.lua
@@ -0,0 +1,19 @@
+-- Failure: an endpoint that is leaving gets new work, or its work in progress is cut off.
+start{entries = 2, agents = 2, slots = 2}
+local requests = {}
+for entry = 0, 1 do
+    for _, ticket in ipairs(tickets(entry, 10)) do
+        requests[#requests + 1] = submit(entry, {ticket = ticket, tasks = 2, ms = 300, limit = 30000})
+    end
+end
+run(100)
+fault("drain_agent", 0)
+run(10)
+local before = starts_at(0)
+run(20000)
+expect(starts_at(0) == before, "the leaving endpoint starts nothing new")
+expect(drained("agent", 0), "the agent reports that nothing is in progress")
+for _, request in ipairs(requests) do
+    expect(answer(request).state == "complete", "no request in progress is cut off")
+end
+expect(#violations() == 0, table.concat(violations(), "; "))
--- /dev/null
+++ b/tests/scenarios/agent_restart.lua
@@ -0,0 +1,24 @@
+-- Failure: a restarted agent, which knows nothing of earlier starts, makes its tasks run again.
+start{entries = 1, agents = 2, slots = 2}
+local ticket = tickets(0, 1)[1]
+local request = submit(0, {ticket = ticket, tasks = 4, ms = 1000, limit = 6000})
+run(100)
+fault("kill_agent", 0)
+run(200)
+fault("start_agent", 0)
+run(7000)
+local got = answer(request)
+expect(got.state == "failed" and got.reason == "outcome_unknown" and not got.not_run, "the lost outcome is reported as unknown")
+expect(starts_of(ticket) == 4, "each task started once")
+
+local later = tickets(0, 6)
+local requests = {}
+for _, one in ipairs(later) do
+    requests[#requests + 1] = submit(0, {ticket = one, tasks = 2, ms = 100})
+end
+run(3000)
+for _, one in ipairs(requests) do
+    expect(answer(one).state == "complete", "the new incarnation gets work")
+end
+expect(starts_at(0) > 2, "agent 0 runs tasks again")
+expect(#violations() == 0, table.concat(violations(), "; "))
--- /dev/null
+++ b/tests/scenarios/deadline.lua
@@ -0,0 +1,16 @@
+-- Failure: work that can't meet its deadline is started too late, or is refused as not run although a part of it ran.
+start{entries = 1, agents = 1, slots = 1}
+local issued = tickets(0, 3)
+local long = submit(0, {ticket = issued[1], tasks = 1, ms = 2000, limit = 10000})
+run(10)
+local queued = submit(0, {ticket = issued[2], tasks = 1, ms = 100, limit = 500})
+local partly = submit(0, {ticket = issued[3], tasks = 30, ms = 200, limit = 4000})
+run(700)
+local got = answer(queued)
+expect(got and got.not_run and starts_of(issued[2]) == 0, "a job that never started is answered as not run")
+run(5000)
+got = answer(partly)
+expect(got and got.state ~= "complete", "the job misses its deadline")
+expect(got.not_run == (starts_of(issued[3]) == 0), "not run is said only if nothing started")
+expect(answer(long).state == "complete", "the running task is not cut off")
+expect(#violations() == 0, table.concat(violations(), "; "))
--- /dev/null
+++ b/tests/scenarios/entries_cut.lua
@@ -0,0 +1,18 @@
+-- Failure: entries that cannot see each other start a forwarded job twice or answer it wrongly.
+start{entries = 2, agents = 2}
+local issued = tickets(0, 2)
+cut_entries(0, 1)
+local first = submit(0, {ticket = issued[1], tasks = 2, ms = 100})
+local second = submit(1, {ticket = issued[1], tasks = 2, ms = 100, limit = 3000})
+local onlyThere = submit(1, {ticket = issued[2], tasks = 2, ms = 100, limit = 3000})
+run(8000)
+expect(answer(first).state == "complete", "the home serves")
+expect(answer(second) ~= nil and not answer(second).not_run, "the other entry does not say not run")
+expect(answer(onlyThere) ~= nil and not answer(onlyThere).not_run, "it cannot know about the other ticket either")
+expect(starts_of(issued[1]) == 2, "each task started once")
+heal_entries(0, 1)
+run(100)
+local later = submit(1, {ticket = issued[1], tasks = 2, ms = 100})
+run(1000)
+expect(answer(later).state == "complete", "after the cut the answer of the home is passed on")
+expect(#violations() == 0, table.concat(violations(), "; "))
--- /dev/null
+++ b/tests/scenarios/entry_death.lua
@@ -0,0 +1,26 @@
+-- Failure: the home entry dies, and a resubmission elsewhere starts the tasks again or is told "not run".
+start{entries = 2, agents = 2}
+local ticket = tickets(0, 1)[1]
+local first = submit(0, {ticket = ticket, tasks = 4, ms = 200})
+run(100)
+fault("kill_entry", 0)
+run(100)
+local again = submit(1, {ticket = ticket, tasks = 4, ms = 200})
+run(8000)
+local got = answer(again)
+expect(got and got.state == "complete" and got.results == 4, "the agents hold all results")
+expect(starts_of(ticket) == 4, "each task started once")
+
+-- A ticket whose tasks did not all start can't be completed, and nobody can say that nothing ran.
+fault("start_entry", 0)
+run(1000)
+local second = tickets(0, 1)[1]
+submit(0, {ticket = second, tasks = 40, ms = 400})
+run(100)
+fault("kill_entry", 0)
+run(100)
+local unknown = submit(1, {ticket = second, tasks = 40, ms = 400, limit = 5000})
+run(8000)
+got = answer(unknown)
+expect(got and got.state == "failed" and got.reason == "outcome_unknown" and not got.not_run, "the outcome is unknown")
+expect(#violations() == 0, table.concat(violations(), "; "))
--- /dev/null
+++ b/tests/scenarios/flood.lua
@@ -0,0 +1,24 @@
+-- Failure: a flood of one kind, less or more urgent, takes the service of another kind away.
+start{entries = 1, agents = 4, slots = 4, kinds = {check = {weight = 1}, bulk = {weight = 1}, urgent = {weight = 4}}}
+for _, flooding in ipairs{"bulk", "urgent"} do
+    local requests = {}
+    for step = 1, 200 do
+        for _, ticket in ipairs(tickets(0, 40)) do
+            submit(0, {ticket = ticket, kind = flooding, team = "flood", tasks = 1, ms = 100, limit = 2000})
+        end
+        if step % 5 == 0 then
+            requests[#requests + 1] = submit(0, {ticket = tickets(0, 1)[1], kind = "check", tasks = 1, ms = 100, limit = 2000})
+        end
+        run(25)
+    end
+    run(3000)
+    local served = 0
+    for _, request in ipairs(requests) do
+        local got = answer(request)
+        if got.state == "complete" and got.after <= 1000 then
+            served = served + 1
+        end
+    end
+    expect(served >= 0.95 * #requests, "check keeps " .. served .. " of " .. #requests .. " jobs while " .. flooding .. " floods")
+end
+expect(#violations() == 0, table.concat(violations(), "; "))
--- /dev/null
+++ b/tests/scenarios/guard_fence_off.lua
@@ -0,0 +1,13 @@
+-- Shows that the fence matters: if agents are not told, the checker reports starts after the recovery.
+start{entries = 2, agents = 2, slots = 2}
+guard_off("fence")
+local ticket = tickets(0, 1)[1]
+submit(0, {ticket = ticket, tasks = 12, ms = 300, limit = 20000})
+run(100)
+fault("pause_entry", 0)
+run(3000)
+submit(1, {ticket = ticket, tasks = 12, ms = 300, limit = 6000})
+run(7000)
+fault("resume_entry", 0)
+run(20000)
+expect(#violations() > 0, "a start after the fence is reported")
--- /dev/null
+++ b/tests/scenarios/job_completes.lua
@@ -0,0 +1,14 @@
+-- Failure: results are lost, mixed up between jobs or returned in another order than their tasks.
+start{entries = 3, agents = 3, slots = 4}
+local requests = {}
+for entry = 0, 2 do
+    for _, ticket in ipairs(tickets(entry, 10)) do
+        requests[#requests + 1] = submit(entry, {ticket = ticket, tasks = 5, ms = 80})
+    end
+end
+run(9000)
+for _, request in ipairs(requests) do
+    local got = answer(request)
+    expect(got and got.state == "complete" and got.results == 5, "every job is complete")
+end
+expect(#violations() == 0, table.concat(violations(), "; "))
--- /dev/null
+++ b/tests/scenarios/jobs_that_cannot_run.lua
@@ -0,0 +1,12 @@
+-- Failure: a job that can never run waits until its deadline.
+start{entries = 2, agents = 1, kinds = {check = {}, order = {}}}
+rules{kinds = {check = {}, order = {}, orphan = {}}}
+run(10)
+local unknown = submit(0, {ticket = tickets(0, 1)[1], kind = "nonsense", limit = 60000})
+local orphan = submit(0, {ticket = tickets(0, 1)[1], kind = "orphan", limit = 60000})
+local works = submit(0, {ticket = tickets(0, 1)[1], kind = "order", ms = 20})
+run(500)
+expect(answer(unknown).reason == "unknown_kind" and answer(unknown).not_run, "unknown kind")
+expect(answer(orphan).reason == "no_endpoint" and answer(orphan).not_run, "no endpoint offers the kind")
+expect(answer(works).state == "complete", "other kinds are served")
+expect(#violations() == 0, table.concat(violations(), "; "))
--- /dev/null
+++ b/tests/settings/read_settings_test.cpp
@@ -0,0 +1,77 @@
+#include "settings/read_settings.h"
+
+#include "settings/load_settings.h"
+#include "settings/settings_tables.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <string>
+
+using namespace teaselward;
+
+namespace
+{
+
+const std::string ValidEntry = "[process]\nrole = entry\nfailure_domain = fd-1\n"
+                               "[callers]\nlisten = 127.0.0.1:8080\n"
+                               "[peers]\nlisten = 127.0.0.1:7400\nlease = 2s\nheartbeat = 500ms\n"
+                               "[tickets]\nkey = 0123456789abcdef\n"
+                               "[log]\nurl = http://127.0.0.1:9100\n";
+
+settings_result<entry_settings> read(const std::string &text)
+{
+    return readSettings<entry_settings>(settings_file("entry.ini", text), entrySettingsTable());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(read_settings_test)
+
+// Guards against units that are mixed up when a file is read.
+BOOST_AUTO_TEST_CASE(readsValuesWithTheirUnits)
+{
+    const auto result = read(ValidEntry);
+    BOOST_TEST(result.errors.empty());
+    BOOST_TEST((result.settings.lease == std::chrono::seconds(2)));
+    BOOST_TEST((result.settings.heartbeat == std::chrono::milliseconds(500)));
+}
+
+// Guards against a misspelt key that silently leaves its default in force.
+BOOST_AUTO_TEST_CASE(namesFileLineAndKeyOfAnUnknownKey)
+{
+    const auto result = read(ValidEntry + "retention_time = 5\n");
+    BOOST_REQUIRE(result.errors.size() == 1);
+    BOOST_TEST(result.errors[0].file == "entry.ini");
+    BOOST_TEST(result.errors[0].line == 13);
+    BOOST_TEST(result.errors[0].key == "log.retention_time");
+}
+
+// Guards against a check that stops at the first error, so that operators need one start for each fault.
+BOOST_AUTO_TEST_CASE(reportsEveryErrorAtOnce)
+{
+    const auto result = read("[process]\nrole = entry\nfailure_domain = fd-1\n[callers]\nlisten = localhost\nbody_limit = 12\nidle_timeout = soon\n");
+    // Three wrong values and four missing keys.
+    BOOST_TEST(result.errors.size() == 7);
+}
+
+// Guards against a syntax error that hides the rest of the file.
+BOOST_AUTO_TEST_CASE(reportsTheLineOfASyntaxError)
+{
+    const auto result = read("[process]\nrole = entry\nthis is no setting\n");
+    BOOST_REQUIRE(result.errors.size() == 1);
+    BOOST_TEST(result.errors[0].line == 3);
+}
+
+// Guards against examples that rot.
+BOOST_AUTO_TEST_CASE(acceptsEveryExample)
+{
+    for (const char *name : {"agence/entry.ini", "agence/agent.ini", "foundation/entry.ini", "foundation/agent.ini"}) {
+        const auto errors = checkSettings(std::string(TEASELWARD_SOURCE_DIR "/examples/") + name);
+        for (const auto &error : errors) {
+            BOOST_ERROR(error.file << ":" << error.line << ": " << error.key << ": " << error.text);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
