Let smaller jobs of a team go first within two seconds

Cause: a wait is a larger part of the response of a job with few tasks, and jobs of 20 tasks came before them. Change: a job's turn is its arrival plus 100 ms for each of at most 20 tasks.

--- a/src/share/queued_job.h
+++ b/src/share/queued_job.h
@@ -17,6 +17,7 @@
     std::size_t kind = 0; ///< Number of the kind's queue.
     std::size_t team = 0; ///< Number of the team in the kind's queue.
     std::multimap<mono_time, ticket_id>::iterator expiry; ///< Position in the order of the deadlines.
+    mono_time due{}; ///< Orders the jobs of a team; smaller jobs are due earlier.
     std::deque<queued_task> tasks;
 };
 
--- a/src/share/task_queue.cpp
+++ b/src/share/task_queue.cpp
@@ -36,15 +36,17 @@
         kind.teams[team].refused += tasks;
         return result;
     }
+    d->admitted = job.source.id;
+    d->admittedTasks = tasks;
     kind.teams[team].admitted += tasks;
     kind.addInProgress(team, static_cast<std::int64_t>(tasks));
     d->quotas.add(job.team, static_cast<std::int64_t>(tasks));
     return result;
 }
 
-void task_queue::push(queued_task task, mono_time /*now*/)
+void task_queue::push(queued_task task, mono_time now)
 {
-    const auto job = d->findOrAddJob(task, false);
+    const auto job = d->findOrAddJob(task, now);
     job->tasks.push_back(std::move(task));
     d->countQueued(*job, 1);
 }
@@ -52,7 +54,7 @@
 // The charge is refunded, since the next start charges it again.
 void task_queue::putBack(queued_task task)
 {
-    const auto job = d->findOrAddJob(task, true);
+    const auto job = d->findOrAddFront(task);
     job->tasks.push_front(std::move(task));
     d->countQueued(*job, 1);
     kind_queue &kind = d->kinds[job->kind];
--- a/src/share/task_queue_private.cpp
+++ b/src/share/task_queue_private.cpp
@@ -14,6 +14,9 @@
 constexpr double LeastShare = 1e-3; // Keeps a kind with weight and floor zero from waiting forever.
 constexpr double WaitMargin = 1.8; // 1.5 let 7 % of the jobs accepted at 3x overload expire, 1.8 lets 3 %; 2.2 refuses too much in floods.
 constexpr double RunMargin = 3; // The longest task of a job runs for several times the mean.
+// A short wait is a larger part of the response of a job with few tasks, so each task delays its job's turn.
+constexpr milliseconds DelayPerTask(100);
+constexpr std::size_t MostDelayed = 20; // Larger jobs are not delayed further.
 constexpr milliseconds ShortestRetry(100);
 constexpr milliseconds LongestRetry(10000);
 constexpr milliseconds QuotaRetry(1000); // The parts of a quota change with the reports, once a second.
@@ -106,20 +109,46 @@
     return {};
 }
 
-task_queue_private::job_position task_queue_private::findOrAddJob(const queued_task &task, bool front)
+// A job that arrives later overtakes only those that are due later, so that no job waits forever. The search from the back
+// ends within the jobs of the last two seconds.
+task_queue_private::job_position task_queue_private::findOrAddJob(const queued_task &task, mono_time now)
 {
     const auto found = jobs.find(task.id.ticket);
     if (found != jobs.end()) {
         return found->second;
     }
     const std::size_t kindNumber = kindIndex(task.kind);
-    kind_queue &kind = kinds[kindNumber];
-    const std::size_t teamNumber = kind.teamIndex(task.team, teamWeight(task.team));
-    auto &list = kind.teams[teamNumber].jobs;
-    const auto added = list.insert(front ? list.begin() : list.end(), queued_job{});
+    const std::size_t teamNumber = kinds[kindNumber].teamIndex(task.team, teamWeight(task.team));
+    const std::size_t tasks = std::min(task.id.ticket == admitted ? admittedTasks : 1, MostDelayed);
+    const mono_time due = now + tasks * DelayPerTask;
+    auto &list = kinds[kindNumber].teams[teamNumber].jobs;
+    auto before = list.end();
+    while (before != list.begin() && std::prev(before)->due > due) {
+        --before;
+    }
+    return addJob(task, kindNumber, teamNumber, before, due);
+}
+
+task_queue_private::job_position task_queue_private::findOrAddFront(const queued_task &task)
+{
+    const auto found = jobs.find(task.id.ticket);
+    if (found != jobs.end()) {
+        return found->second;
+    }
+    const std::size_t kindNumber = kindIndex(task.kind);
+    const std::size_t teamNumber = kinds[kindNumber].teamIndex(task.team, teamWeight(task.team));
+    auto &list = kinds[kindNumber].teams[teamNumber].jobs;
+    return addJob(task, kindNumber, teamNumber, list.begin(), list.empty() ? mono_time{} : list.front().due);
+}
+
+task_queue_private::job_position
+task_queue_private::addJob(const queued_task &task, std::size_t kindNumber, std::size_t teamNumber, job_position before, mono_time due)
+{
+    const auto added = kinds[kindNumber].teams[teamNumber].jobs.insert(before, queued_job{});
     added->ticket = task.id.ticket;
     added->kind = kindNumber;
     added->team = teamNumber;
+    added->due = due;
     added->expiry = expiries.emplace(task.deadline, task.id.ticket);
     jobs.emplace(task.id.ticket, added);
     return added;
--- a/src/share/task_queue_private.h
+++ b/src/share/task_queue_private.h
@@ -38,8 +38,14 @@
     /** Decides on a submission whose kind and team are known. */
     admission_result decide(kind_queue &kind, std::size_t team, const job_request &job, std::size_t slots, mono_time now);
 
-    /** Finds the waiting part of a task's job or adds it to its team at the front or the back. */
-    job_position findOrAddJob(const queued_task &task, bool front);
+    /** Finds the waiting part of a task's job or adds it to its team by its due time. */
+    job_position findOrAddJob(const queued_task &task, mono_time now);
+
+    /** Finds the waiting part of a task's job or adds it at the front of its team. */
+    job_position findOrAddFront(const queued_task &task);
+
+    /** Adds the waiting part of a task's job before a position of its team. */
+    job_position addJob(const queued_task &task, std::size_t kindNumber, std::size_t teamNumber, job_position before, mono_time due);
 
     /** Updates the counts after tasks were queued or taken. */
     void countQueued(const queued_job &job, std::int64_t change);
@@ -58,6 +64,8 @@
     absl::flat_hash_map<ticket_id, job_position> jobs;
     std::multimap<mono_time, ticket_id> expiries;
     std::size_t size = 0;
+    ticket_id admitted; ///< Latest job admitted, whose tasks are pushed next.
+    std::size_t admittedTasks = 0;
     std::size_t entries = 1;
 };
 
--- a/src/sim/sim_entry.cpp
+++ b/src/sim/sim_entry.cpp
@@ -86,6 +86,7 @@
 void sim_entry::submit(sim_job &job, mono_time arrived)
 {
     job_request request;
+    request.source.id = {m_number + 1, job.number};
     request.team = m_setup.fifo ? "team" : "team" + std::to_string(job.team);
     request.kind = queueName(job);
     request.timeLimit = m_setup.timeLimit;
