Test sharing, placement and credits

Cause: the policies had no tests. Change: starvation, floods, quotas with lost peers, failing workers and kinds, saturation, stragglers, leaving agents, expired tasks, and credits under random interleavings with a printed seed. Conclusion: no change of behaviour.

--- /dev/null
+++ b/tests/place/credit_allocator_test.cpp
@@ -0,0 +1,236 @@
+#include "place/credit_allocator.h"
+#include "place/random_source.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <cstdlib>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+
+using namespace teaselward;
+
+namespace
+{
+
+constexpr std::uint32_t Slots = 8;
+
+std::int32_t deltaFor(const std::vector<credit_grant> &grants, std::uint64_t entry)
+{
+    std::int32_t sum = 0;
+    for (const credit_grant &grant : grants) {
+        sum += grant.entry.value == entry ? grant.delta : 0;
+    }
+    return sum;
+}
+
+/** Entry with its side of the credits and the messages under way in both directions. */
+struct peer {
+    std::int32_t credits = 0;
+    std::deque<int> starts; ///< Sent to the agent.
+    std::deque<std::int32_t> deltas; ///< Sent to the entry.
+    std::uint32_t running = 0;
+    std::uint32_t held = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(credit_allocator_test)
+
+// Guards against lost or multiplied credits when messages, joins and losses cross in any order: with nothing under way and
+// nothing running, each entry holds what the agent has granted and can come back.
+BOOST_AUTO_TEST_CASE(creditsAreConservedUnderRandomInterleavings)
+{
+    const char *given = std::getenv("TEST_SEED");
+    const std::uint64_t seed = given != nullptr ? std::stoull(given) : std::random_device()();
+    BOOST_TEST_MESSAGE("TEST_SEED=" << seed);
+    BOOST_TEST_CONTEXT("TEST_SEED=" << seed)
+    for (const char *policy : {"shared", "equal"}) {
+        random_source random(seed);
+        credit_allocator allocator(Slots, policy);
+        std::map<std::uint64_t, peer> peers;
+        const auto deliver = [&](const std::vector<credit_grant> &grants) {
+            for (const credit_grant &grant : grants) {
+                peers[grant.entry.value].deltas.push_back(grant.delta);
+            }
+        };
+        std::uint32_t running = 0;
+        const auto runHeld = [&] {
+            while (const auto entry = allocator.takeHeld()) {
+                --peers[entry->value].held;
+                ++peers[entry->value].running;
+                ++running;
+            }
+        };
+        for (std::uint64_t entry = 1; entry <= 3; ++entry) {
+            peers[entry];
+            deliver(allocator.join({entry}, {}));
+        }
+        for (int step = 0; step < 20000; ++step) {
+            const std::uint64_t entry = 1 + random.below(3);
+            peer &one = peers[entry];
+            switch (random.below(6)) {
+            case 0: // The entry uses a credit.
+                if (one.credits > 0) {
+                    --one.credits;
+                    one.starts.push_back(step);
+                }
+                break;
+            case 1: // A start arrives.
+                if (!one.starts.empty()) {
+                    one.starts.pop_front();
+                    if (allocator.take({entry})) {
+                        ++one.running;
+                        ++running;
+                    } else if (allocator.hold({entry})) {
+                        ++one.held;
+                    } else {
+                        one.deltas.push_back(1);
+                    }
+                }
+                break;
+            case 2: // A change of credits arrives.
+                if (!one.deltas.empty()) {
+                    one.credits += one.deltas.front();
+                    one.deltas.pop_front();
+                }
+                break;
+            case 3: // A task ends.
+                if (one.running > 0) {
+                    --one.running;
+                    --running;
+                    deliver(allocator.release({entry}, {}));
+                    runHeld();
+                }
+                break;
+            case 4: // A held start is given up.
+                if (one.held > 0 && random.below(4) == 0) {
+                    --one.held;
+                    deliver(allocator.dropHeld({entry}, {}));
+                    runHeld();
+                }
+                break;
+            default: // The connection is lost with all that is under way, and the entry registers again.
+                if (random.below(50) == 0) {
+                    for (; one.held > 0; --one.held) {
+                        allocator.dropHeld({entry}, {});
+                    }
+                    deliver(allocator.lose({entry}, {}));
+                    one.starts.clear();
+                    one.deltas.clear();
+                    one.credits = 0;
+                    deliver(allocator.join({entry}, {}));
+                }
+                break;
+            }
+            BOOST_REQUIRE(running <= Slots);
+        }
+        for (auto &[entry, one] : peers) {
+            for (; !one.starts.empty(); one.starts.pop_front()) {
+                if (allocator.take({entry})) {
+                    ++one.running;
+                    ++running;
+                } else if (allocator.hold({entry})) {
+                    ++one.held;
+                } else {
+                    one.deltas.push_back(1);
+                }
+            }
+        }
+        for (int round = 0; round < 100 && running > 0; ++round) {
+            for (auto &[entry, one] : peers) {
+                for (; one.running > 0; --one.running, --running) {
+                    deliver(allocator.release({entry}, {}));
+                }
+            }
+            runHeld();
+        }
+        for (auto &[entry, one] : peers) {
+            for (; !one.deltas.empty(); one.deltas.pop_front()) {
+                one.credits += one.deltas.front();
+            }
+            BOOST_TEST(one.held == 0U);
+            // A further task at the idle agent brings the entry exactly to the target, unless the counts differ.
+            BOOST_TEST(allocator.take({entry}));
+            one.credits += deltaFor(allocator.release({entry}, {}), entry) - 1;
+            BOOST_TEST(one.credits == (std::string(policy) == "shared" ? 6 : 2));
+        }
+    }
+}
+
+// Guards against a start that is refused although a slot is free, because a recall crossed it.
+BOOST_AUTO_TEST_CASE(startThatARecallCrossesRunsIfASlotIsFree)
+{
+    credit_allocator allocator(4, "equal");
+    BOOST_TEST(deltaFor(allocator.join({1}, {}), 1) == 4);
+    const auto grants = allocator.join({2}, {});
+    BOOST_TEST(deltaFor(grants, 1) == -2);
+    BOOST_TEST(deltaFor(grants, 2) == 2);
+    for (int i = 0; i < 4; ++i) { // All four left before the recall arrived.
+        BOOST_TEST(allocator.take({1}));
+    }
+    BOOST_TEST(!allocator.take({2}));
+    BOOST_TEST(allocator.hold({2}));
+    BOOST_TEST(deltaFor(allocator.release({1}, {}), 1) == 2); // The entry's own count is -2 and becomes 0.
+    BOOST_TEST((allocator.takeHeld() == entry_id{2}));
+}
+
+// Guards against an entry with many tasks that keeps the slots from one with few: held starts of the latter run first.
+BOOST_AUTO_TEST_CASE(heldStartsRunInFairOrder)
+{
+    credit_allocator allocator(4);
+    allocator.join({1}, {});
+    allocator.join({2}, {});
+    for (int i = 0; i < 4; ++i) {
+        BOOST_TEST(allocator.take({1}));
+    }
+    BOOST_TEST(allocator.hold({1}));
+    BOOST_TEST(allocator.hold({2}));
+    BOOST_TEST(!allocator.takeHeld());
+    allocator.release({1}, {});
+    BOOST_TEST((allocator.takeHeld() == entry_id{2}));
+    BOOST_TEST(!allocator.takeHeld());
+}
+
+// Guards against starts that pile up at one agent without bound.
+BOOST_AUTO_TEST_CASE(heldStartsAreBounded)
+{
+    credit_allocator allocator(2);
+    allocator.join({1}, {});
+    BOOST_TEST(allocator.take({1}));
+    BOOST_TEST(allocator.take({1}));
+    int held = 0;
+    while (held < 100 && allocator.hold({1})) {
+        ++held;
+    }
+    BOOST_TEST(held == 4);
+}
+
+// Guards against an entry that hears nothing from an agent and so never sends it work again.
+BOOST_AUTO_TEST_CASE(idleEntryKeepsACredit)
+{
+    credit_allocator allocator(2);
+    allocator.join({1}, {});
+    BOOST_TEST(allocator.take({1}));
+    BOOST_TEST(allocator.take({1}));
+    for (std::uint64_t entry = 2; entry <= 20; ++entry) {
+        BOOST_TEST(deltaFor(allocator.join({entry}, {}), entry) == 1);
+    }
+}
+
+// Guards against new work at an agent that is leaving.
+BOOST_AUTO_TEST_CASE(leavingAgentGrantsAndStartsNothing)
+{
+    credit_allocator allocator(2);
+    allocator.join({1}, {});
+    BOOST_TEST(allocator.take({1}));
+    allocator.close();
+    BOOST_TEST(!allocator.take({1}));
+    BOOST_TEST(!allocator.hold({1}));
+    BOOST_TEST(allocator.release({1}, {}).empty());
+    BOOST_TEST(allocator.join({2}, {}).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/place/slot_table_test.cpp
@@ -0,0 +1,203 @@
+#include "place/slot_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <map>
+#include <stdexcept>
+#include <string>
+
+using namespace teaselward;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+/** Six agents with four slots each in three failure domains. */
+struct fixture {
+    fixture()
+    {
+        for (std::uint64_t agent = 1; agent <= 6; ++agent) {
+            join(agent);
+        }
+    }
+
+    static agent_info info(std::uint64_t agent)
+    {
+        agent_info item;
+        item.id = {agent};
+        item.slots = 4;
+        item.failureDomain = std::to_string(agent % 3);
+        item.kinds = {"kind", "other"};
+        return item;
+    }
+
+    void join(std::uint64_t agent)
+    {
+        table.join(info(agent), 4, seconds(2), now);
+    }
+
+    void release(const agent_id &agent, task_verdict verdict, milliseconds runTime = milliseconds(100), std::string_view kind = "kind")
+    {
+        table.release(agent, kind, {verdict, reason::none, "", runTime}, 1, now);
+    }
+
+    endpoint_health health(std::uint64_t agent) const
+    {
+        for (const endpoint_status &item : table.status()) {
+            if (item.info.id.value == agent) {
+                return item.health;
+            }
+        }
+        return endpoint_health::lost;
+    }
+
+    // Runs tasks one after another; the given agent fails each of its tasks. Returns the tasks it got.
+    int run(int tasks, std::uint64_t failing, std::string_view kind = "kind")
+    {
+        int got = 0;
+        for (int i = 0; i < tasks; ++i) {
+            now += milliseconds(5);
+            const auto agent = table.acquire(kind, now);
+            BOOST_REQUIRE(agent);
+            got += agent->value == failing ? 1 : 0;
+            release(*agent, agent->value == failing ? task_verdict::failed : task_verdict::succeeded, milliseconds(1), kind);
+        }
+        return got;
+    }
+
+    slot_table table{"credits", 1};
+    mono_time now = mono_time(seconds(1));
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(slot_table_test, fixture)
+
+// Guards against a misspelt strategy that silently becomes another one.
+BOOST_AUTO_TEST_CASE(unknownStrategyIsAnError)
+{
+    BOOST_CHECK_THROW(slot_table("credit", 1), std::out_of_range);
+}
+
+// Guards against starts beyond the credits, and against load that does not spread over agents and failure domains.
+BOOST_AUTO_TEST_CASE(creditsBoundAndSpreadTheLoad)
+{
+    std::map<std::uint64_t, int> started;
+    for (int i = 0; i < 6; ++i) {
+        ++started[table.acquire("kind", now)->value];
+    }
+    BOOST_TEST(started.size() == 6);
+    for (int i = 0; i < 18; ++i) {
+        BOOST_TEST(table.isPlaceable("kind", now));
+        ++started[table.acquire("kind", now)->value];
+    }
+    BOOST_TEST(!table.isPlaceable("kind", now));
+    BOOST_TEST(!table.acquire("kind", now));
+    BOOST_TEST(started[3] == 4);
+    BOOST_TEST(table.slots("kind") == 24);
+    BOOST_TEST(table.slots("none") == 0);
+}
+
+// Guards against a worker that attracts work by failing fast.
+BOOST_AUTO_TEST_CASE(failingWorkerIsExcludedAndProbed)
+{
+    run(60, 0);
+    BOOST_TEST(run(200, 2) <= 6);
+    BOOST_TEST((health(2) == endpoint_health::failing));
+    const int probes = run(2000, 2);
+    BOOST_TEST(probes >= 2);
+    BOOST_TEST(probes <= 20); // One percent of the tasks over ten seconds.
+    run(20000, 0);
+    BOOST_TEST((health(2) == endpoint_health::healthy));
+}
+
+// Guards against a kind that fails everywhere and takes all endpoints out of work.
+BOOST_AUTO_TEST_CASE(failingKindExcludesNoEndpoint)
+{
+    run(60, 0);
+    for (int i = 0; i < 300; ++i) {
+        now += milliseconds(5);
+        const auto agent = table.acquire("other", now);
+        BOOST_REQUIRE(agent);
+        release(*agent, task_verdict::failed, milliseconds(1), "other");
+    }
+    for (std::uint64_t agent = 1; agent <= 6; ++agent) {
+        BOOST_TEST((health(agent) == endpoint_health::healthy));
+    }
+}
+
+// Guards against a busy endpoint that is taken for a failing one, and against a refused start that is repeated at once.
+BOOST_AUTO_TEST_CASE(saturationIsAShortHold)
+{
+    const auto agent = *table.acquire("kind", now);
+    for (int i = 0; i < 20; ++i) {
+        release(agent, task_verdict::notStarted);
+        table.addCredits(agent, -1);
+    }
+    table.addCredits(agent, 1);
+    BOOST_TEST((health(agent.value) == endpoint_health::saturated));
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST(table.acquire("kind", now)->value != agent.value);
+    }
+    BOOST_TEST(!table.isPlaceable("kind", now));
+    BOOST_TEST((table.nextDue() <= now + milliseconds(500)));
+    now += milliseconds(500);
+    BOOST_TEST(table.acquire("kind", now)->value == agent.value);
+}
+
+// Guards against a straggler that gets as much work as the others.
+BOOST_AUTO_TEST_CASE(stragglerGetsLessWork)
+{
+    for (int i = 0; i < 600; ++i) {
+        const auto agent = *table.acquire("kind", now);
+        release(agent, task_verdict::succeeded, milliseconds(agent.value == 5 ? 800 : 100));
+    }
+    int got = 0;
+    while (const auto agent = table.acquire("kind", now)) {
+        got += agent->value == 5 ? 1 : 0;
+    }
+    BOOST_TEST(got == 1);
+}
+
+// Guards against new work for an agent that is leaving or lost, and against health that a reconnection resets.
+BOOST_AUTO_TEST_CASE(leavingAgentGetsNothing)
+{
+    table.leave({4});
+    BOOST_TEST(table.slots("kind") == 20);
+    BOOST_TEST(table.agents().size() == 5);
+    table.addCredits({4}, 4);
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST(table.acquire("kind", now)->value != 4);
+    }
+    BOOST_TEST(!table.acquire("kind", now));
+    join(4);
+    BOOST_TEST(table.acquire("kind", now)->value == 4);
+}
+
+// Guards against a failing worker that returns to full work by reconnecting.
+BOOST_AUTO_TEST_CASE(reconnectionKeepsTheHealth)
+{
+    run(60, 0);
+    run(200, 2);
+    table.leave({2});
+    join(2);
+    BOOST_TEST((health(2) == endpoint_health::failing));
+}
+
+// Guards against baselines that run without bound, since they ignore credits.
+BOOST_AUTO_TEST_CASE(baselinesAreBoundedBySlots)
+{
+    for (const char *name : {"random", "two_choices", "least_outstanding"}) {
+        slot_table baseline(name, 1);
+        baseline.join(info(1), 0, seconds(2), now);
+        baseline.join(info(2), 0, seconds(2), now);
+        for (int i = 0; i < 8; ++i) {
+            BOOST_TEST(baseline.acquire("kind", now).has_value());
+        }
+        BOOST_TEST(!baseline.acquire("kind", now).has_value());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
