Test lost sessions and control messages over loopback sockets

Cause: a call of a lost session stayed in progress until its answer, and its promise used memory of the closed adapter. Conclusion: every unanswered start is reported once, before the loss of its agent.

--- a/src/member/entry_directory.cpp
+++ b/src/member/entry_directory.cpp
@@ -1,6 +1,6 @@
 #include "member/entry_directory.h"
 
-#include "member/backoff.h"
+#include "member/reconnect_delay.h"
 #include "member/retry_budget.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -27,7 +27,7 @@
     mono_time due{}; // Next attempt.
     mono_time reached{}; // Last time at which the address was connected or named.
     entry_id entry; // Incarnation that answered last; zero if none.
-    backoff delay;
+    reconnect_delay delay;
 };
 
 class entry_directory_private
@@ -48,7 +48,7 @@
     // Adds a record that is due at once. Each backoff gets a seed of its own, so that their delays differ.
     address_record &add(const std::string &address, mono_time now)
     {
-        const backoff delay(settings.firstDelay, settings.reconnectLimit, settings.seed + ++created);
+        const reconnect_delay delay(settings.firstDelay, settings.reconnectLimit, settings.seed + ++created);
         return records.emplace(address, address_record{false, address_state::waiting, now, now, {}, delay}).first->second;
     }
 
--- a/src/member/backoff.cpp
+++ b/src/member/reconnect_delay.cpp
@@ -1,11 +1,11 @@
-#include "member/backoff.h"
+#include "member/reconnect_delay.h"
 
 #include <algorithm>
 
 namespace teaselward
 {
 
-backoff::backoff(std::chrono::milliseconds first, std::chrono::milliseconds limit, std::uint64_t seed)
+reconnect_delay::reconnect_delay(std::chrono::milliseconds first, std::chrono::milliseconds limit, std::uint64_t seed)
     : m_first(first)
     , m_limit(limit)
     , m_step(std::min(first, limit))
@@ -13,7 +13,7 @@
 {
 }
 
-std::chrono::milliseconds backoff::next()
+std::chrono::milliseconds reconnect_delay::next()
 {
     std::uniform_int_distribution<std::chrono::milliseconds::rep> jitter(m_step.count() / 2, m_step.count());
     const std::chrono::milliseconds delay(jitter(m_random));
@@ -21,7 +21,7 @@
     return delay;
 }
 
-void backoff::reset()
+void reconnect_delay::reset()
 {
     m_step = std::min(m_first, m_limit);
 }
--- a/src/member/backoff.h
+++ b/src/member/reconnect_delay.h
@@ -8,7 +8,7 @@
 {
 
 /** Exponential backoff with jitter, so that many processes do not return at the same instant. */
-class backoff
+class reconnect_delay
 {
 public:
     /**
@@ -17,7 +17,7 @@
      * @param limit upper end of the longest delay
      * @param seed seed of the jitter
      */
-    backoff(std::chrono::milliseconds first, std::chrono::milliseconds limit, std::uint64_t seed);
+    reconnect_delay(std::chrono::milliseconds first, std::chrono::milliseconds limit, std::uint64_t seed);
 
     /** @return delay after a further failure: uniform between half of the present step and the whole of it */
     std::chrono::milliseconds next();
--- a/src/rpc/agent_loop.cpp
+++ b/src/rpc/agent_loop.cpp
@@ -1,8 +1,8 @@
 #include "rpc/agent_loop.h"
 
 #include "rpc/action_table.h"
-#include "rpc/agent_context.h"
 #include "rpc/agent_port.h"
+#include "rpc/agent_rpc_context.h"
 #include "rpc/command_pump.h"
 #include "rpc/dialer.h"
 #include "rpc/entry_session.h"
@@ -54,7 +54,7 @@
     entry_directory m_directory;
     entry_session_table m_sessions;
     link_table m_links;
-    agent_context m_context;
+    agent_rpc_context m_context;
     dialer m_dialer;
     command_pump<agent_action> m_pump;
 };
--- a/src/rpc/agent_port.cpp
+++ b/src/rpc/agent_port.cpp
@@ -1,5 +1,6 @@
 #include "rpc/agent_port.h"
 
+#include "rpc/body_size.h"
 #include "rpc/list_codec.h"
 #include "rpc/rpc_limits.h"
 #include "rpc/task_codec.h"
@@ -12,7 +13,20 @@
 namespace teaselward
 {
 
-agent_port::agent_port(agent_context &context, std::weak_ptr<entry_session> session)
+namespace
+{
+
+// A result above the size of a message would end the session at the entry, and with it the other tasks in progress.
+void boundBody(task_outcome &outcome)
+{
+    if (outcome.body.size() > MessageBodyBytes) {
+        outcome = {task_verdict::failed, reason::tooLarge, "result too large", outcome.runTime};
+    }
+}
+
+} // namespace
+
+agent_port::agent_port(agent_rpc_context &context, std::weak_ptr<entry_session> session)
     : m_context(context)
     , m_session(std::move(session))
 {
@@ -59,8 +73,10 @@
     });
 }
 
+// Without the permission to cancel, the library would keep the call of a lost session until its answer.
 kj::Promise<void> agent_port::start(StartContext call)
 {
+    call.allowCancellation();
     return afterJoin([this, call]() mutable -> kj::Promise<void> {
         const entry_id entry = from();
         start_order order = decode(call.getParams().getOrder());
@@ -69,7 +85,8 @@
         auto pending = m_context.starts.add();
         m_context.events.push(start_received{call_id{pending.number}, entry, std::move(order)});
         return pending.answer
-            .then([call](const answer_start &answer) mutable {
+            .then([call](answer_start answer) mutable {
+                boundBody(answer.outcome);
                 auto results = call.getResults();
                 encode(answer.outcome, results.initOutcome());
                 results.setCredits(answer.credits);
@@ -82,6 +99,7 @@
 
 kj::Promise<void> agent_port::revoke(RevokeContext call)
 {
+    call.allowCancellation();
     return afterJoin([this, call]() mutable -> kj::Promise<void> {
         const entry_id entry = from();
         const task_id id = decode(call.getParams().getId());
@@ -89,7 +107,8 @@
         auto pending = m_context.revokes.add();
         m_context.events.push(revoke_received{call_id{pending.number}, entry, id});
         return pending.answer
-            .then([call](const answer_revoke &answer) mutable {
+            .then([call](answer_revoke answer) mutable {
+                boundBody(answer.held.outcome);
                 encode(answer.held, call.getResults().initHeld());
             })
             .attach(kj::defer([this] {
@@ -100,6 +119,7 @@
 
 kj::Promise<void> agent_port::fence(FenceContext call)
 {
+    call.allowCancellation();
     return afterJoin([this, call]() mutable -> kj::Promise<void> {
         const entry_id entry = from();
         const ticket_id ticket = decode(call.getParams().getTicket());
@@ -108,6 +128,7 @@
         m_context.events.push(fence_received{call_id{pending.number}, entry, ticket});
         return pending.answer
             .then([call](const answer_fence &answer) mutable {
+                KJ_REQUIRE(bodySize(answer.held) <= MessageBodyBytes, "the results are too large");
                 encodeHeld(answer.held, call.getResults().initHeld(static_cast<unsigned>(answer.held.size())));
             })
             .attach(kj::defer([this] {
--- a/src/rpc/agent_port.h
+++ b/src/rpc/agent_port.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "rpc/agent_context.h"
+#include "rpc/agent_rpc_context.h"
 #include "rpc/entry_session.h"
 #include "rpc/wire.capnp.h"
 
@@ -19,7 +19,7 @@
      * @param context what the sessions share
      * @param session the session; calls fail once it is gone
      */
-    agent_port(agent_context &context, std::weak_ptr<entry_session> session);
+    agent_port(agent_rpc_context &context, std::weak_ptr<entry_session> session);
 
     kj::Promise<void> ping(PingContext call) override;
     kj::Promise<void> start(StartContext call) override;
@@ -35,7 +35,7 @@
     template<typename F>
     kj::Promise<void> afterJoin(F &&handle);
 
-    agent_context &m_context;
+    agent_rpc_context &m_context;
     std::weak_ptr<entry_session> m_session;
     std::size_t m_calls = 0; // Calls that wait for their answers.
 };
--- a/src/rpc/agent_context.h
+++ b/src/rpc/agent_rpc_context.h
@@ -16,7 +16,7 @@
 {
 
 /** What the sessions of an agent share. */
-struct agent_context {
+struct agent_rpc_context {
     const agent_rpc_settings &settings;
     agent_info &self; ///< Its leaving flag changes once.
     bounded_ring<agent_event> &events;
--- a/src/rpc/agent_session.cpp
+++ b/src/rpc/agent_session.cpp
@@ -11,7 +11,7 @@
 namespace teaselward
 {
 
-agent_session::agent_session(entry_context &context, std::uint64_t link, agent_info info, wire::AgentPort::Client port)
+agent_session::agent_session(entry_rpc_context &context, std::uint64_t link, agent_info info, wire::AgentPort::Client port)
     : m_context(context)
     , m_link(link)
     , m_info(std::move(info))
@@ -46,58 +46,41 @@
 void agent_session::start(const start_order &order)
 {
     const std::uint64_t number = ++m_lastCall;
-    m_tasksInCall.emplace(number, order.id);
+    m_startsInCall.emplace(number, order.id);
     auto request = m_port.startRequest();
     encode(order, request.initOrder());
     m_calls.add(request.send()
                     .then([this, number, id = order.id](auto &&response) {
                         task_finished event{m_info.id, id, decode(response.getOutcome()), response.getCredits()};
-                        if (m_tasksInCall.erase(number) > 0) {
+                        if (m_startsInCall.erase(number) > 0) {
                             m_context.events.push(std::move(event));
                         }
                     })
                     .catch_([this, number](kj::Exception && /*exception*/) {
-                        failTask(number);
+                        failStart(number);
                     }));
 }
 
-void agent_session::revoke(const task_id &id, std::chrono::milliseconds delay)
-{
-    const std::uint64_t number = ++m_lastCall;
-    m_tasksInCall.emplace(number, id);
-    if (delay <= delay.zero()) {
-        sendRevoke(number, id);
-        return;
-    }
-    m_calls.add(m_context.timer.afterDelay(delay.count() * kj::MILLISECONDS).then([this, number, id] {
-        sendRevoke(number, id);
-    }));
-}
-
-void agent_session::sendRevoke(std::uint64_t number, const task_id &id)
+void agent_session::revoke(const task_id &id)
 {
     auto request = m_port.revokeRequest();
     encode(id, request.initId());
-    m_calls.add(request.send()
-                    .then([this, number](auto &&response) {
-                        task_revoked event{m_info.id, decode(response.getHeld())};
-                        if (m_tasksInCall.erase(number) > 0) {
-                            m_context.events.push(std::move(event));
-                        }
-                    })
-                    .catch_([this, number](kj::Exception && /*exception*/) {
-                        failTask(number);
-                    }));
+    m_calls.add(request.send().then([this](auto &&response) {
+        task_revoked event{m_info.id, decode(response.getHeld())};
+        if (!m_isLost) {
+            m_context.events.push(std::move(event));
+        }
+    }));
 }
 
-void agent_session::failTask(std::uint64_t number)
+void agent_session::failStart(std::uint64_t number)
 {
-    const auto found = m_tasksInCall.find(number);
-    if (found == m_tasksInCall.end()) {
+    const auto found = m_startsInCall.find(number);
+    if (found == m_startsInCall.end()) {
         return;
     }
     const task_id id = found->second;
-    m_tasksInCall.erase(found);
+    m_startsInCall.erase(found);
     m_context.events.push(start_unanswered{m_info.id, id});
 }
 
@@ -149,7 +132,8 @@
     if (found != m_context.agents.end() && found->second == this) {
         m_context.agents.erase(found);
     }
-    for (const auto &[number, id] : std::exchange(m_tasksInCall, {})) {
+    m_isLost = true;
+    for (const auto &[number, id] : std::exchange(m_startsInCall, {})) {
         m_context.events.push(start_unanswered{m_info.id, id});
     }
     for (const auto &[number, ticket] : std::exchange(m_fencesInCall, {})) {
--- a/src/rpc/agent_session.h
+++ b/src/rpc/agent_session.h
@@ -2,13 +2,12 @@
 
 #include "core/agent_info.h"
 #include "core/start_order.h"
-#include "rpc/entry_context.h"
+#include "rpc/entry_rpc_context.h"
 #include "rpc/link_user.h"
 #include "rpc/wire.capnp.h"
 
 #include <kj/async.h>
 
-#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -28,7 +27,7 @@
      * @param info announcement of the agent
      * @param port capability of the agent
      */
-    agent_session(entry_context &context, std::uint64_t link, agent_info info, wire::AgentPort::Client port);
+    agent_session(entry_rpc_context &context, std::uint64_t link, agent_info info, wire::AgentPort::Client port);
 
     /** Replaces an older session of the same incarnation and reports the agent. */
     void join();
@@ -42,12 +41,8 @@
     /** Raises task_finished, or start_unanswered if the call ends without an answer. @param order the order */
     void start(const start_order &order);
 
-    /**
-     * Raises task_revoked, or start_unanswered if the call ends without an answer.
-     * @param id the task
-     * @param delay time to wait before the call is sent
-     */
-    void revoke(const task_id &id, std::chrono::milliseconds delay);
+    /** Raises task_revoked, or nothing if the call ends without an answer; the decisions ask again. @param id the task */
+    void revoke(const task_id &id);
 
     /** Raises ticket_fenced. @param ticket the ticket */
     void fence(const ticket_id &ticket);
@@ -62,16 +57,16 @@
     void handleLost() override;
 
 private:
-    void sendRevoke(std::uint64_t number, const task_id &id);
-    void failTask(std::uint64_t number);
+    void failStart(std::uint64_t number);
     void taskFailed(kj::Exception &&exception) override;
 
-    entry_context &m_context;
+    entry_rpc_context &m_context;
     std::uint64_t m_link;
     agent_info m_info;
     wire::AgentPort::Client m_port;
+    bool m_isLost = false;
     std::uint64_t m_lastCall = 0;
-    std::map<std::uint64_t, task_id> m_tasksInCall; // Starts and revocations that have no answer yet.
+    std::map<std::uint64_t, task_id> m_startsInCall; // Starts that have no answer yet.
     std::map<std::uint64_t, ticket_id> m_fencesInCall;
     kj::TaskSet m_calls;
 };
--- a/src/rpc/agent_session_port.cpp
+++ b/src/rpc/agent_session_port.cpp
@@ -10,7 +10,7 @@
 namespace teaselward
 {
 
-agent_session_port::agent_session_port(entry_context &context, std::weak_ptr<agent_session> session)
+agent_session_port::agent_session_port(entry_rpc_context &context, std::weak_ptr<agent_session> session)
     : m_context(context)
     , m_session(std::move(session))
 {
--- a/src/rpc/agent_session_port.h
+++ b/src/rpc/agent_session_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "rpc/agent_session.h"
-#include "rpc/entry_context.h"
+#include "rpc/entry_rpc_context.h"
 #include "rpc/wire.capnp.h"
 
 #include <memory>
@@ -18,7 +18,7 @@
      * @param context what the sessions share
      * @param session the session; calls fail once it is gone
      */
-    agent_session_port(entry_context &context, std::weak_ptr<agent_session> session);
+    agent_session_port(entry_rpc_context &context, std::weak_ptr<agent_session> session);
 
     kj::Promise<void> ping(PingContext call) override;
     kj::Promise<void> credits(CreditsContext call) override;
@@ -28,7 +28,7 @@
 private:
     agent_id current() const;
 
-    entry_context &m_context;
+    entry_rpc_context &m_context;
     std::weak_ptr<agent_session> m_session;
 };
 
--- /dev/null
+++ b/src/rpc/entry_dispatcher.cpp
@@ -0,0 +1,132 @@
+#include "rpc/entry_dispatcher.h"
+
+#include "rpc/agent_session.h"
+#include "rpc/forwarder.h"
+#include "rpc/peer_session.h"
+#include "rpc/peer_table.h"
+#include "rpc/rpc_limits.h"
+
+#include <string>
+#include <utility>
+
+namespace teaselward
+{
+
+// Indexed by the alternative of entry_action; those for other adapters are refused.
+const action_table<entry_action, entry_dispatcher::handler> entry_dispatcher::Handlers = action_table<entry_action, handler>(&entry_dispatcher::refuse)
+                                                                                             .set<start_task>(&entry_dispatcher::startTask)
+                                                                                             .set<revoke_task>(&entry_dispatcher::revokeTask)
+                                                                                             .set<fence_ticket>(&entry_dispatcher::fenceTicket)
+                                                                                             .set<forward_job>(&entry_dispatcher::forward)
+                                                                                             .set<forward_query>(&entry_dispatcher::forward)
+                                                                                             .set<forward_cancel>(&entry_dispatcher::forward)
+                                                                                             .set<send_demand>(&entry_dispatcher::sendDemand)
+                                                                                             .set<report_usage>(&entry_dispatcher::reportUsage)
+                                                                                             .set<reply_job>(&entry_dispatcher::replyJob);
+
+entry_dispatcher::entry_dispatcher(entry_rpc_context &context)
+    : m_context(context)
+    , m_tasks(*this)
+{
+}
+
+void entry_dispatcher::dispatch(entry_action &&action)
+{
+    (this->*Handlers.at(action))(std::move(action));
+}
+
+agent_session *entry_dispatcher::findAgent(const agent_id &agent) const
+{
+    const auto found = m_context.agents.find(agent);
+    return found != m_context.agents.end() ? found->second : nullptr;
+}
+
+// No byte of a start without a session is sent, so it is known not to have started. A payload above the size of a message
+// would fail everywhere, so it must not be placed again.
+void entry_dispatcher::startTask(entry_action &&action)
+{
+    const auto &start = std::get<start_task>(action);
+    agent_session *session = findAgent(start.agent);
+    task_outcome outcome;
+    if (start.order.payload.size() > MessageBodyBytes) {
+        outcome.why = reason::tooLarge;
+    } else if (session == nullptr) {
+        outcome.verdict = task_verdict::notStarted;
+        outcome.why = reason::noEndpoint;
+    } else {
+        session->start(start.order);
+        return;
+    }
+    m_context.events.push(task_finished{start.agent, start.order.id, std::move(outcome), 0});
+}
+
+// A revocation that cannot be sent raises no event: the decisions repeat it by their own timer.
+void entry_dispatcher::revokeTask(entry_action &&action)
+{
+    const auto &revoke = std::get<revoke_task>(action);
+    if (revoke.delay > revoke.delay.zero()) {
+        m_tasks.add(m_context.timer.afterDelay(revoke.delay.count() * kj::MILLISECONDS).then([this, revoke] {
+            sendRevoke(revoke);
+        }));
+        return;
+    }
+    sendRevoke(revoke);
+}
+
+void entry_dispatcher::sendRevoke(const revoke_task &revoke)
+{
+    if (agent_session *session = findAgent(revoke.agent)) {
+        session->revoke(revoke.id);
+    }
+}
+
+void entry_dispatcher::fenceTicket(entry_action &&action)
+{
+    const auto &fence = std::get<fence_ticket>(action);
+    if (agent_session *session = findAgent(fence.agent)) {
+        session->fence(fence.ticket);
+    } else {
+        m_context.events.push(ticket_fenced{fence.agent, fence.ticket, false, {}});
+    }
+}
+
+void entry_dispatcher::forward(entry_action &&action)
+{
+    m_context.forwards.forward(std::move(action));
+}
+
+void entry_dispatcher::sendDemand(entry_action &&action)
+{
+    const auto &demand = std::get<send_demand>(action);
+    if (agent_session *session = findAgent(demand.agent)) {
+        session->sendDemand(demand.queued);
+    }
+}
+
+void entry_dispatcher::reportUsage(entry_action &&action)
+{
+    const auto &report = std::get<report_usage>(action);
+    for (peer_session *session : m_context.peers.newest()) {
+        session->exchange(report.usage);
+    }
+}
+
+void entry_dispatcher::replyJob(entry_action &&action)
+{
+    auto &reply = std::get<reply_job>(action);
+    if (reply.request.origin == request_origin::peer) {
+        m_context.requests.resolve(reply.request.number, std::move(reply.answer));
+    }
+}
+
+void entry_dispatcher::refuse(entry_action &&action)
+{
+    m_context.log.write(log_part::rpc, "action refused, not for this adapter index=" + std::to_string(action.index()));
+}
+
+// Only timers run here; they do not fail.
+void entry_dispatcher::taskFailed(kj::Exception && /*exception*/)
+{
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/rpc/entry_dispatcher.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/agent_id.h"
+#include "job/entry_action.h"
+#include "rpc/action_table.h"
+#include "rpc/entry_rpc_context.h"
+
+#include <kj/async.h>
+
+namespace teaselward
+{
+
+/** Hands each action of the decisions to the session that carries it out. */
+class entry_dispatcher : private kj::TaskSet::ErrorHandler
+{
+public:
+    /** @param context what the sessions share */
+    explicit entry_dispatcher(entry_rpc_context &context);
+
+    /** @param action the action; one for another adapter is logged and dropped */
+    void dispatch(entry_action &&action);
+
+private:
+    using handler = void (entry_dispatcher::*)(entry_action &&);
+    static const action_table<entry_action, handler> Handlers;
+
+    void startTask(entry_action &&action);
+    void revokeTask(entry_action &&action);
+    void fenceTicket(entry_action &&action);
+    void forward(entry_action &&action);
+    void sendDemand(entry_action &&action);
+    void reportUsage(entry_action &&action);
+    void replyJob(entry_action &&action);
+    void refuse(entry_action &&action);
+
+    agent_session *findAgent(const agent_id &agent) const;
+    void sendRevoke(const revoke_task &revoke);
+    void taskFailed(kj::Exception &&exception) override;
+
+    entry_rpc_context &m_context;
+    kj::TaskSet m_tasks; // Revocations that wait for their time.
+};
+
+} // namespace teaselward
--- a/src/rpc/entry_gate.cpp
+++ b/src/rpc/entry_gate.cpp
@@ -19,7 +19,7 @@
 namespace teaselward
 {
 
-entry_gate::entry_gate(entry_context &context, std::uint64_t link)
+entry_gate::entry_gate(entry_rpc_context &context, std::uint64_t link)
     : m_context(context)
     , m_link(link)
 {
--- a/src/rpc/entry_gate.h
+++ b/src/rpc/entry_gate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "rpc/entry_context.h"
+#include "rpc/entry_rpc_context.h"
 #include "rpc/welcome.h"
 #include "rpc/wire.capnp.h"
 
@@ -19,7 +19,7 @@
      * @param context what the sessions share
      * @param link number of the connection
      */
-    entry_gate(entry_context &context, std::uint64_t link);
+    entry_gate(entry_rpc_context &context, std::uint64_t link);
 
     kj::Promise<void> registerAgent(RegisterAgentContext call) override;
     kj::Promise<void> greet(GreetContext call) override;
@@ -29,7 +29,7 @@
     bool checkVersion(std::uint32_t version, std::string_view from, const std::string &address);
     welcome answer(bool isAccepted) const;
 
-    entry_context &m_context;
+    entry_rpc_context &m_context;
     std::uint64_t m_link;
 };
 
--- a/src/rpc/entry_loop.cpp
+++ b/src/rpc/entry_loop.cpp
@@ -1,10 +1,8 @@
 #include "rpc/entry_loop.h"
 
-#include "rpc/action_table.h"
-#include "rpc/agent_session.h"
 #include "rpc/command_pump.h"
 #include "rpc/dialer.h"
-#include "rpc/entry_context.h"
+#include "rpc/entry_dispatcher.h"
 #include "rpc/entry_gate.h"
 #include "rpc/entry_port.h"
 #include "rpc/forwarder.h"
@@ -13,7 +11,6 @@
 #include "rpc/rpc_limits.h"
 #include "rpc/tick_interval.h"
 
-#include <string>
 #include <utility>
 
 namespace teaselward
@@ -25,16 +22,12 @@
 // Wait after a failed accept, for example when no descriptor is left.
 constexpr std::chrono::milliseconds AcceptRetry{100};
 
-// A revocation that cannot be sent is reported this late, so that a decision that answers with the next revocation does not
-// keep two threads busy.
-constexpr std::chrono::milliseconds UnsentDelay{100};
-
 } // namespace
 
 namespace detail
 {
 
-class entry_loop_private final : private kj::TaskSet::ErrorHandler
+class entry_loop_private
 {
 public:
     entry_loop_private(const entry_rpc_settings &settings,
@@ -49,25 +42,11 @@
     void run();
 
 private:
-    using handler = void (entry_loop_private::*)(entry_action &&);
-    static const action_table<entry_action, handler> Handlers;
-
-    void startTask(entry_action &&action);
-    void revokeTask(entry_action &&action);
-    void fenceTicket(entry_action &&action);
-    void forward(entry_action &&action);
-    void sendDemand(entry_action &&action);
-    void reportUsage(entry_action &&action);
-    void replyJob(entry_action &&action);
-    void refuse(entry_action &&action);
-
-    agent_session *findAgent(const agent_id &agent) const;
     void open(const std::string &address, kj::Own<kj::AsyncIoStream> stream);
     void handleUnreachable(const std::string &address);
     void accept(kj::Own<kj::AsyncIoStream> stream);
     kj::Promise<void> acceptAll();
     kj::Promise<void> tick();
-    void taskFailed(kj::Exception &&exception) override;
 
     kj::AsyncIoContext &m_io;
     kj::Timer &m_timer;
@@ -80,24 +59,12 @@
     peer_table m_peers;
     forwarder m_forwards;
     link_table m_links;
-    entry_context m_context;
+    entry_rpc_context m_context;
     dialer m_dialer;
+    entry_dispatcher m_dispatcher;
     command_pump<entry_action> m_pump;
-    kj::TaskSet m_tasks;
 };
 
-// Indexed by the alternative of entry_action; those for other adapters are refused.
-const action_table<entry_action, entry_loop_private::handler> entry_loop_private::Handlers = action_table<entry_action, handler>(&entry_loop_private::refuse)
-                                                                                                 .set<start_task>(&entry_loop_private::startTask)
-                                                                                                 .set<revoke_task>(&entry_loop_private::revokeTask)
-                                                                                                 .set<fence_ticket>(&entry_loop_private::fenceTicket)
-                                                                                                 .set<forward_job>(&entry_loop_private::forward)
-                                                                                                 .set<forward_query>(&entry_loop_private::forward)
-                                                                                                 .set<forward_cancel>(&entry_loop_private::forward)
-                                                                                                 .set<send_demand>(&entry_loop_private::sendDemand)
-                                                                                                 .set<report_usage>(&entry_loop_private::reportUsage)
-                                                                                                 .set<reply_job>(&entry_loop_private::replyJob);
-
 entry_loop_private::entry_loop_private(const entry_rpc_settings &settings,
                                        const listen_socket &listener,
                                        bounded_ring<entry_event> &events,
@@ -119,7 +86,7 @@
     , m_peers(m_context)
     , m_forwards(m_context)
     , m_links(m_timer, settings.lease, settings.heartbeat, traffic, log)
-    , m_context{settings, m_self, events, log, m_timer, m_links, m_directory, m_agents, m_peers, m_forwards, m_requests}
+    , m_context{settings, m_self, events, log, m_timer, m_links, m_directory, m_agents, m_peers, m_forwards, m_dialer, m_requests}
     , m_dialer(
           loop.provider->getNetwork(),
           m_timer,
@@ -131,13 +98,10 @@
           [this](const std::string &address) {
               handleUnreachable(address);
           })
-    , m_pump(commands,
-             wake,
-             loop.unixEventPort,
-             [this](entry_action &&action) {
-                 (this->*Handlers.at(action))(std::move(action));
-             })
-    , m_tasks(*this)
+    , m_dispatcher(m_context)
+    , m_pump(commands, wake, loop.unixEventPort, [this](entry_action &&action) {
+        m_dispatcher.dispatch(std::move(action));
+    })
 {
     m_directory.exclude(m_self.address);
     for (const std::string &address : settings.peers) {
@@ -212,95 +176,6 @@
     m_forwards.handleUnreachable(address);
 }
 
-agent_session *entry_loop_private::findAgent(const agent_id &agent) const
-{
-    const auto found = m_agents.find(agent);
-    return found != m_agents.end() ? found->second : nullptr;
-}
-
-// No byte of a start without a session or above the size of a message is sent, so it is known not to have started.
-void entry_loop_private::startTask(entry_action &&action)
-{
-    const auto &start = std::get<start_task>(action);
-    agent_session *session = findAgent(start.agent);
-    const bool isTooLarge = start.order.payload.size() > MessageBodyBytes;
-    if (session != nullptr && !isTooLarge) {
-        session->start(start.order);
-        return;
-    }
-    task_outcome outcome;
-    outcome.verdict = task_verdict::notStarted;
-    outcome.why = isTooLarge ? reason::tooLarge : reason::noEndpoint;
-    m_context.events.push(task_finished{start.agent, start.order.id, std::move(outcome), 0});
-}
-
-void entry_loop_private::revokeTask(entry_action &&action)
-{
-    const auto &revoke = std::get<revoke_task>(action);
-    if (agent_session *session = findAgent(revoke.agent)) {
-        session->revoke(revoke.id, revoke.delay);
-        return;
-    }
-    const auto delay = std::max(revoke.delay, UnsentDelay);
-    m_tasks.add(m_timer.afterDelay(delay.count() * kj::MILLISECONDS).then([this, revoke] {
-        if (agent_session *session = findAgent(revoke.agent)) {
-            session->revoke(revoke.id, std::chrono::milliseconds::zero());
-        } else {
-            m_context.events.push(start_unanswered{revoke.agent, revoke.id});
-        }
-    }));
-}
-
-void entry_loop_private::fenceTicket(entry_action &&action)
-{
-    const auto &fence = std::get<fence_ticket>(action);
-    if (agent_session *session = findAgent(fence.agent)) {
-        session->fence(fence.ticket);
-    } else {
-        m_context.events.push(ticket_fenced{fence.agent, fence.ticket, false, {}});
-    }
-}
-
-void entry_loop_private::forward(entry_action &&action)
-{
-    m_forwards.forward(std::move(action));
-    m_dialer.dial(mono_clock::now());
-}
-
-void entry_loop_private::sendDemand(entry_action &&action)
-{
-    const auto &demand = std::get<send_demand>(action);
-    if (agent_session *session = findAgent(demand.agent)) {
-        session->sendDemand(demand.queued);
-    }
-}
-
-void entry_loop_private::reportUsage(entry_action &&action)
-{
-    const auto &report = std::get<report_usage>(action);
-    for (peer_session *session : m_peers.newest()) {
-        session->exchange(report.usage);
-    }
-}
-
-void entry_loop_private::replyJob(entry_action &&action)
-{
-    auto &reply = std::get<reply_job>(action);
-    if (reply.request.origin == request_origin::peer) {
-        m_requests.resolve(reply.request.number, std::move(reply.answer));
-    }
-}
-
-void entry_loop_private::refuse(entry_action &&action)
-{
-    m_context.log.write(log_part::rpc, "action refused, not for this adapter index=" + std::to_string(action.index()));
-}
-
-// Only timers run here; they do not fail.
-void entry_loop_private::taskFailed(kj::Exception && /*exception*/)
-{
-}
-
 } // namespace detail
 
 entry_loop::entry_loop(const entry_rpc_settings &settings,
--- a/src/rpc/entry_port.cpp
+++ b/src/rpc/entry_port.cpp
@@ -15,7 +15,7 @@
 namespace teaselward
 {
 
-entry_port::entry_port(entry_context &context, std::weak_ptr<peer_session> session)
+entry_port::entry_port(entry_rpc_context &context, std::weak_ptr<peer_session> session)
     : m_context(context)
     , m_session(std::move(session))
 {
@@ -32,6 +32,7 @@
 {
     KJ_REQUIRE(m_calls < MaxSessionCalls, "too many calls in progress");
     ++m_calls;
+    call.allowCancellation();
     auto pending = m_context.requests.add();
     m_context.events.push(makeEvent(request_id{request_origin::peer, pending.number}));
     return pending.answer
--- a/src/rpc/entry_port.h
+++ b/src/rpc/entry_port.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "rpc/entry_context.h"
+#include "rpc/entry_rpc_context.h"
 #include "rpc/peer_session.h"
 #include "rpc/wire.capnp.h"
 
@@ -19,7 +19,7 @@
      * @param context what the sessions share
      * @param session the session; calls fail once it is gone
      */
-    entry_port(entry_context &context, std::weak_ptr<peer_session> session);
+    entry_port(entry_rpc_context &context, std::weak_ptr<peer_session> session);
 
     kj::Promise<void> ping(PingContext call) override;
     kj::Promise<void> submit(SubmitContext call) override;
@@ -33,7 +33,7 @@
     template<typename C, typename F>
     kj::Promise<void> await(C call, F &&makeEvent);
 
-    entry_context &m_context;
+    entry_rpc_context &m_context;
     std::weak_ptr<peer_session> m_session;
     std::size_t m_calls = 0; // Calls that wait for their answers.
 };
--- a/src/rpc/entry_context.h
+++ b/src/rpc/entry_rpc_context.h
@@ -16,11 +16,12 @@
 namespace teaselward
 {
 
+class dialer;
 class forwarder;
 class peer_table;
 
 /** What the sessions of an entry share. */
-struct entry_context {
+struct entry_rpc_context {
     const entry_rpc_settings &settings;
     const entry_info &self;
     bounded_ring<entry_event> &events;
@@ -31,6 +32,7 @@
     agent_session_table &agents;
     peer_table &peers;
     forwarder &forwards;
+    dialer &dialing;
     pending_table<job_answer> &requests; ///< Requests of peers that wait for the decision thread.
 };
 
--- a/src/rpc/entry_session.cpp
+++ b/src/rpc/entry_session.cpp
@@ -11,7 +11,7 @@
 namespace teaselward
 {
 
-entry_session::entry_session(agent_context &context, std::string address, std::uint64_t link)
+entry_session::entry_session(agent_rpc_context &context, std::string address, std::uint64_t link)
     : m_context(context)
     , m_address(std::move(address))
     , m_link(link)
--- a/src/rpc/entry_session.h
+++ b/src/rpc/entry_session.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "rpc/agent_context.h"
+#include "rpc/agent_rpc_context.h"
 #include "rpc/link_user.h"
 #include "rpc/welcome.h"
 #include "rpc/wire.capnp.h"
@@ -25,7 +25,7 @@
      * @param address address that was connected
      * @param link number of the connection
      */
-    entry_session(agent_context &context, std::string address, std::uint64_t link);
+    entry_session(agent_rpc_context &context, std::string address, std::uint64_t link);
 
     /**
      * Sends the registration.
@@ -62,7 +62,7 @@
     void join(const welcome &answer, wire::AgentSession::Client remote);
     void taskFailed(kj::Exception &&exception) override;
 
-    agent_context &m_context;
+    agent_rpc_context &m_context;
     std::string m_address;
     std::uint64_t m_link;
     std::optional<entry_info> m_entry;
--- a/src/rpc/forwarder.cpp
+++ b/src/rpc/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "rpc/forwarder.h"
 
 #include "rpc/body_size.h"
+#include "rpc/dialer.h"
 #include "rpc/peer_session.h"
 #include "rpc/peer_table.h"
 #include "rpc/rpc_limits.h"
@@ -57,7 +58,7 @@
 
 } // namespace
 
-forwarder::forwarder(entry_context &context)
+forwarder::forwarder(entry_rpc_context &context)
     : m_context(context)
 {
 }
@@ -79,6 +80,7 @@
     }
     m_context.directory.hurry(home, now);
     m_waiting.push_back({now + m_context.settings.forwardConnect, std::move(home), std::move(action)});
+    m_context.dialing.dial(now);
 }
 
 // Another incarnation at the address does not know the ticket, so nothing is sent to it.
--- a/src/rpc/forwarder.h
+++ b/src/rpc/forwarder.h
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "job/entry_action.h"
-#include "rpc/entry_context.h"
+#include "rpc/entry_rpc_context.h"
 
 #include <deque>
 #include <string>
@@ -17,7 +17,7 @@
 {
 public:
     /** @param context what the sessions share; it is used after the construction only */
-    explicit forwarder(entry_context &context);
+    explicit forwarder(entry_rpc_context &context);
 
     /** Raises forward_answered sooner or later. @param action forward_job, forward_query or forward_cancel */
     void forward(entry_action &&action);
@@ -41,7 +41,7 @@
     void send(peer_session &session, const entry_action &action);
     void giveUp(const entry_action &action);
 
-    entry_context &m_context;
+    entry_rpc_context &m_context;
     std::deque<waiting> m_waiting; // In the order of their ends, since all wait equally long.
 };
 
--- a/src/rpc/peer_session.cpp
+++ b/src/rpc/peer_session.cpp
@@ -16,7 +16,7 @@
 namespace teaselward
 {
 
-peer_session::peer_session(entry_context &context, std::uint64_t link, std::string address)
+peer_session::peer_session(entry_rpc_context &context, std::uint64_t link, std::string address)
     : m_context(context)
     , m_link(link)
     , m_address(std::move(address))
--- a/src/rpc/peer_session.h
+++ b/src/rpc/peer_session.h
@@ -3,7 +3,7 @@
 #include "job/action/forward_cancel.h"
 #include "job/action/forward_job.h"
 #include "job/action/forward_query.h"
-#include "rpc/entry_context.h"
+#include "rpc/entry_rpc_context.h"
 #include "rpc/link_user.h"
 #include "rpc/welcome.h"
 #include "rpc/wire.capnp.h"
@@ -29,7 +29,7 @@
      * @param link number of the connection
      * @param address address that was connected; empty if the other side connected
      */
-    peer_session(entry_context &context, std::uint64_t link, std::string address);
+    peer_session(entry_rpc_context &context, std::uint64_t link, std::string address);
 
     /**
      * Sends the greeting.
@@ -78,7 +78,7 @@
     void answer(std::uint64_t number, forward_answered &&event);
     void taskFailed(kj::Exception &&exception) override;
 
-    entry_context &m_context;
+    entry_rpc_context &m_context;
     std::uint64_t m_link;
     std::string m_address;
     bool m_isDialed;
--- a/src/rpc/peer_table.cpp
+++ b/src/rpc/peer_table.cpp
@@ -12,7 +12,7 @@
 namespace teaselward
 {
 
-peer_table::peer_table(entry_context &context)
+peer_table::peer_table(entry_rpc_context &context)
     : m_context(context)
 {
 }
--- a/src/rpc/peer_table.h
+++ b/src/rpc/peer_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/entry_id.h"
-#include "rpc/entry_context.h"
+#include "rpc/entry_rpc_context.h"
 
 #include <string>
 #include <vector>
@@ -19,7 +19,7 @@
 {
 public:
     /** @param context what the sessions share; it is used after the construction only */
-    explicit peer_table(entry_context &context);
+    explicit peer_table(entry_rpc_context &context);
 
     /** Adds a session, which is preferred to older ones. @param session the session */
     void join(peer_session &session);
@@ -40,7 +40,7 @@
 private:
     std::vector<peer_session *> sessionsOf(const entry_id &entry) const;
 
-    entry_context &m_context;
+    entry_rpc_context &m_context;
     std::vector<peer_session *> m_sessions; // From the oldest to the newest.
 };
 
--- a/src/rpc/pending_table.h
+++ b/src/rpc/pending_table.h
@@ -4,6 +4,7 @@
 #include <kj/async.h>
 
 #include <cstdint>
+#include <memory>
 #include <utility>
 
 namespace teaselward
@@ -20,14 +21,18 @@
         kj::Promise<T> answer;
     };
 
-    /** @return a new call; it leaves the table when its promise is dropped or resolved */
+    /**
+     * Adds a call. Its promise can outlive the table, since the library drops the promises of cancelled calls with its event
+     * loop, so the two share the state.
+     * @return a new call; it leaves the table when its promise is dropped or resolved
+     */
     call add()
     {
         auto pair = kj::newPromiseAndFulfiller<T>();
         const std::uint64_t number = ++m_lastNumber;
-        m_calls.emplace(number, std::move(pair.fulfiller));
-        return {number, pair.promise.attach(kj::defer([this, number] {
-                    m_calls.erase(number);
+        m_calls->emplace(number, std::move(pair.fulfiller));
+        return {number, pair.promise.attach(kj::defer([calls = m_calls, number] {
+                    calls->erase(number);
                 }))};
     }
 
@@ -38,8 +43,8 @@
      */
     void resolve(std::uint64_t number, T &&answer)
     {
-        const auto found = m_calls.find(number);
-        if (found != m_calls.end()) {
+        const auto found = m_calls->find(number);
+        if (found != m_calls->end()) {
             found->second->fulfill(std::move(answer));
         }
     }
@@ -47,12 +52,14 @@
     /** @return number of calls that wait */
     std::size_t size() const
     {
-        return m_calls.size();
+        return m_calls->size();
     }
 
 private:
+    using calls = absl::flat_hash_map<std::uint64_t, kj::Own<kj::PromiseFulfiller<T>>>;
+
     std::uint64_t m_lastNumber = 0;
-    absl::flat_hash_map<std::uint64_t, kj::Own<kj::PromiseFulfiller<T>>> m_calls;
+    std::shared_ptr<calls> m_calls = std::make_shared<calls>();
 };
 
 } // namespace teaselward
--- a/tests/member/backoff_test.cpp
+++ b/tests/member/reconnect_delay_test.cpp
@@ -1,4 +1,4 @@
-#include "member/backoff.h"
+#include "member/reconnect_delay.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -8,12 +8,12 @@
 using namespace teaselward;
 using namespace std::chrono_literals;
 
-BOOST_AUTO_TEST_SUITE(backoff_test)
+BOOST_AUTO_TEST_SUITE(reconnect_delay_test)
 
 // Guards against delays that grow beyond the limit, so that a returning entry would wait long for its agents.
 BOOST_AUTO_TEST_CASE(growsUpToTheLimit)
 {
-    backoff delay(50ms, 2s, 1);
+    reconnect_delay delay(50ms, 2s, 1);
     std::chrono::milliseconds step = 50ms;
     for (int failure = 0; failure < 20; ++failure) {
         const auto next = delay.next();
@@ -30,7 +30,7 @@
 {
     std::set<std::chrono::milliseconds> delays;
     for (std::uint64_t seed = 0; seed < 50; ++seed) {
-        backoff delay(1s, 2s, seed);
+        reconnect_delay delay(1s, 2s, seed);
         delays.insert(delay.next());
     }
     BOOST_TEST(delays.size() > 25U);
--- /dev/null
+++ b/tests/rpc/session_loss_test.cpp
@@ -0,0 +1,238 @@
+#include "rpc/tcp_relay.h"
+#include "rpc/test_agent.h"
+#include "rpc/test_entry.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <optional>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+start_order orderOf(std::uint32_t index)
+{
+    return {task_id{ticket_id{11, 1}, index}, "lookup", "team-a", "payload", 10s, 0};
+}
+
+// Positions of the first event of a type and of the last one, so that a test can check their order.
+template<typename T>
+std::pair<std::size_t, std::size_t> positions(const std::vector<entry_event> &events)
+{
+    std::pair<std::size_t, std::size_t> found{events.size(), 0};
+    for (std::size_t index = 0; index < events.size(); ++index) {
+        if (std::holds_alternative<T>(events[index])) {
+            found.first = std::min(found.first, index);
+            found.second = index;
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(session_loss_test)
+
+// Guards against a start that is forgotten or reported twice when its agent dies, and against a loss that is reported before
+// the starts, so that the decisions would place a task elsewhere without a revocation.
+BOOST_AUTO_TEST_CASE(reportsEachUnansweredStartOnceBeforeTheLoss)
+{
+    test_entry entry(11);
+    std::optional<test_agent> agent;
+    agent.emplace(22, std::vector<std::string>{entry.rpc.address()});
+    BOOST_REQUIRE(entry.events.waitFor<agent_joined>().has_value());
+    for (std::uint32_t index = 0; index < 20; ++index) {
+        BOOST_REQUIRE(entry.rpc.post(start_task{agent_id{22}, orderOf(index)}));
+    }
+    for (std::uint32_t index = 0; index < 20; ++index) {
+        BOOST_REQUIRE(agent->events.waitFor<start_received>().has_value());
+    }
+    agent.reset();
+    BOOST_REQUIRE(entry.events.waitFor<agent_lost>().has_value());
+    entry.events.collect(300ms);
+    BOOST_TEST(entry.events.count<start_unanswered>() == 20U);
+    BOOST_TEST(entry.events.count<agent_lost>() == 1U);
+    BOOST_TEST(positions<start_unanswered>(entry.events.seen()).second < positions<agent_lost>(entry.events.seen()).first);
+}
+
+// Guards against a start to an agent without a session that is reported as possibly started, so that it could not be placed
+// elsewhere, or is not reported at all.
+BOOST_AUTO_TEST_CASE(answersAStartWithoutASessionAsNotStarted)
+{
+    test_entry entry(11);
+    BOOST_REQUIRE(entry.rpc.post(start_task{agent_id{99}, orderOf(0)}));
+    const auto finished = entry.events.waitFor<task_finished>();
+    BOOST_REQUIRE(finished.has_value());
+    BOOST_TEST((finished->outcome.verdict == task_verdict::notStarted));
+    BOOST_REQUIRE(entry.rpc.post(fence_ticket{agent_id{99}, ticket_id{5, 6}}));
+    const auto fenced = entry.events.waitFor<ticket_fenced>();
+    BOOST_REQUIRE(fenced.has_value());
+    BOOST_TEST(!fenced->answered);
+}
+
+// Guards against a cut without a reset or a paused process that is never noticed, on both sides, and against a session that
+// does not come back.
+BOOST_AUTO_TEST_CASE(losesASilentSessionOnBothSidesAndRestoresIt)
+{
+    entry_rpc_settings entrySettings = test_entry::makeSettings(11);
+    entrySettings.lease = 1s;
+    entrySettings.heartbeat = 200ms;
+    test_entry entry(entrySettings);
+    tcp_relay relay(entry.rpc.address());
+    agent_rpc_settings agentSettings = test_agent::makeSettings(22, {relay.address()});
+    agentSettings.lease = 1s;
+    agentSettings.heartbeat = 200ms;
+    test_agent agent(agentSettings);
+    BOOST_REQUIRE(entry.events.waitFor<agent_joined>().has_value());
+    BOOST_REQUIRE(agent.events.waitFor<entry_joined>().has_value());
+    BOOST_REQUIRE(entry.rpc.post(start_task{agent_id{22}, orderOf(0)}));
+    BOOST_REQUIRE(agent.events.waitFor<start_received>().has_value());
+
+    relay.freeze();
+    BOOST_REQUIRE(entry.events.waitFor<agent_lost>().has_value());
+    BOOST_REQUIRE(agent.events.waitFor<entry_lost>().has_value());
+    BOOST_TEST(entry.events.count<start_unanswered>() == 1U);
+
+    relay.resume();
+    BOOST_REQUIRE(entry.events.waitFor<agent_joined>().has_value());
+    BOOST_REQUIRE(agent.events.waitFor<entry_joined>().has_value());
+    BOOST_TEST(entry.events.count<agent_lost>() == 1U);
+    BOOST_TEST(agent.events.count<entry_lost>() == 1U);
+}
+
+// Guards against an idle session that is taken for a dead one.
+BOOST_AUTO_TEST_CASE(keepsAnIdleSession)
+{
+    entry_rpc_settings entrySettings = test_entry::makeSettings(11);
+    entrySettings.lease = 2s;
+    entrySettings.heartbeat = 100ms;
+    test_entry entry(entrySettings);
+    agent_rpc_settings agentSettings = test_agent::makeSettings(22, {entry.rpc.address()});
+    agentSettings.lease = 2s;
+    agentSettings.heartbeat = 100ms;
+    test_agent agent(agentSettings);
+    BOOST_REQUIRE(entry.events.waitFor<agent_joined>().has_value());
+    entry.events.collect(5s);
+    agent.events.collect(0ms);
+    BOOST_TEST(entry.events.count<agent_lost>() == 0U);
+    BOOST_TEST(agent.events.count<entry_lost>() == 0U);
+}
+
+// Guards against an answer that is given after the loss of its session and is taken for the answer to another call.
+BOOST_AUTO_TEST_CASE(dropsAnAnswerOfALostSession)
+{
+    test_entry entry(11);
+    tcp_relay relay(entry.rpc.address());
+    test_agent agent(22, {relay.address()});
+    BOOST_REQUIRE(entry.events.waitFor<agent_joined>().has_value());
+    BOOST_REQUIRE(entry.rpc.post(start_task{agent_id{22}, orderOf(0)}));
+    const auto first = agent.events.waitFor<start_received>();
+    BOOST_REQUIRE(first.has_value());
+    relay.cut();
+    BOOST_REQUIRE(entry.events.waitFor<agent_joined>().has_value());
+    BOOST_REQUIRE(entry.rpc.post(start_task{agent_id{22}, orderOf(1)}));
+    const auto second = agent.events.waitFor<start_received>();
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST((second->call != first->call));
+    BOOST_REQUIRE(agent.rpc.post(answer_start{first->call, first->order.id, {task_verdict::succeeded, reason::none, "late", 1us}, 1}));
+    BOOST_REQUIRE(agent.rpc.post(answer_start{second->call, second->order.id, {task_verdict::succeeded, reason::none, "own", 1us}, 1}));
+    const auto finished = entry.events.waitFor<task_finished>();
+    BOOST_REQUIRE(finished.has_value());
+    BOOST_TEST(finished->outcome.body == "own");
+    BOOST_TEST(finished->id.index == 1U);
+    entry.events.collect(200ms);
+    BOOST_TEST(entry.events.count<task_finished>() == 1U);
+}
+
+// Guards against two sessions of one agent that both count, and against an order of the events in which the loss of the older
+// session ends the newer one.
+BOOST_AUTO_TEST_CASE(letsTheNewerSessionOfAnAgentWin)
+{
+    test_entry entry(11);
+    test_agent older(22, {entry.rpc.address()});
+    BOOST_REQUIRE(entry.events.waitFor<agent_joined>().has_value());
+    BOOST_REQUIRE(older.events.waitFor<entry_joined>().has_value());
+    tcp_relay relay(entry.rpc.address());
+    agent_rpc_settings settings = test_agent::makeSettings(22, {relay.address()});
+    test_agent newer(settings);
+    BOOST_REQUIRE(newer.events.waitFor<entry_joined>().has_value());
+    BOOST_REQUIRE(older.events.waitFor<entry_lost>().has_value());
+    older.stop();
+    entry.events.collect(500ms);
+    // The older process may have come back before it was stopped, so the number of changes is open, but not their order.
+    bool isJoined = false;
+    for (const entry_event &event : entry.events.seen()) {
+        if (std::holds_alternative<agent_joined>(event)) {
+            BOOST_TEST(!isJoined);
+            isJoined = true;
+        } else if (std::holds_alternative<agent_lost>(event)) {
+            BOOST_TEST(isJoined);
+            isJoined = false;
+        }
+    }
+    BOOST_TEST(entry.events.count<agent_joined>() >= 2U);
+}
+
+// Guards against an agent that does not find an entry again that was restarted at the same address.
+BOOST_AUTO_TEST_CASE(findsARestartedEntry)
+{
+    std::optional<test_entry> entry;
+    entry.emplace(11);
+    const std::string address = entry->rpc.address();
+    test_agent agent(22, {address});
+    BOOST_REQUIRE(agent.events.waitFor<entry_joined>().has_value());
+    entry.reset();
+    BOOST_REQUIRE(agent.events.waitFor<entry_lost>().has_value());
+    entry.emplace(12, std::vector<std::string>{}, address);
+    const auto joined = agent.events.waitFor<entry_joined>();
+    BOOST_REQUIRE(joined.has_value());
+    BOOST_TEST(joined->info.id.value == 12U);
+    BOOST_TEST(agent.events.count<entry_lost>() == 1U);
+}
+
+// Guards against a graceful stop that loses the last outcomes.
+BOOST_AUTO_TEST_CASE(sendsWhatWasHandedOverBeforeTheStop)
+{
+    test_entry entry(11);
+    test_agent agent(22, {entry.rpc.address()});
+    BOOST_REQUIRE(entry.events.waitFor<agent_joined>().has_value());
+    for (std::uint32_t index = 0; index < 50; ++index) {
+        BOOST_REQUIRE(entry.rpc.post(start_task{agent_id{22}, orderOf(index)}));
+    }
+    for (std::uint32_t index = 0; index < 50; ++index) {
+        const auto start = agent.events.waitFor<start_received>();
+        BOOST_REQUIRE(start.has_value());
+        task_outcome outcome{task_verdict::succeeded, reason::none, std::string(20000, 'x'), 1us};
+        BOOST_REQUIRE(agent.rpc.post(answer_start{start->call, start->order.id, std::move(outcome), 1}));
+    }
+    agent.stop();
+    BOOST_REQUIRE(entry.events.waitFor<agent_lost>().has_value());
+    BOOST_TEST(entry.events.count<task_finished>() == 50U);
+    BOOST_TEST(entry.events.count<start_unanswered>() == 0U);
+}
+
+// Guards against events that are dropped, and against sessions that are lost, while the decision thread is slow.
+BOOST_AUTO_TEST_CASE(waitsWhileTheRingOfEventsIsFull)
+{
+    capture_log log;
+    bounded_ring<agent_event> ring(2);
+    test_entry entry(11);
+    agent_rpc agent(test_agent::makeSettings(22, {entry.rpc.address()}), ring, log);
+    BOOST_REQUIRE(entry.events.waitFor<agent_joined>().has_value());
+    for (std::uint32_t index = 0; index < 200; ++index) {
+        BOOST_REQUIRE(entry.rpc.post(start_task{agent_id{22}, orderOf(index)}));
+    }
+    event_reader<agent_event> events(ring);
+    for (std::uint32_t index = 0; index < 200; ++index) {
+        const auto start = events.waitFor<start_received>();
+        BOOST_REQUIRE(start.has_value());
+        BOOST_TEST(start->order.id.index == index);
+    }
+    ring.close();
+    agent.stop();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
