--- /dev/null
+++ b/tests/rpc/peer_test.cpp
@@ -0,0 +1,142 @@
+#include "rpc/test_agent.h"
+#include "rpc/test_entry.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <optional>
+#include <set>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// Waits until an entry has seen that many different peers.
+bool waitForPeers(test_entry &entry, std::size_t count)
+{
+    std::set<std::uint64_t> peers;
+    while (peers.size() < count) {
+        const auto joined = entry.events.waitFor<peer_joined>();
+        if (!joined) {
+            return false;
+        }
+        peers.insert(joined->info.id.value);
+    }
+    return true;
+}
+
+// Waits until an agent has registered at that many different entries.
+bool waitForEntries(test_agent &agent, std::size_t count)
+{
+    std::set<std::uint64_t> entries;
+    while (entries.size() < count) {
+        const auto joined = agent.events.waitFor<entry_joined>();
+        if (!joined) {
+            return false;
+        }
+        entries.insert(joined->info.id.value);
+    }
+    return true;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(peer_test)
+
+// Guards against an entry or an agent that finds only those that its settings name, and against an agent that does not hear
+// of an entry that started later.
+BOOST_AUTO_TEST_CASE(learnsAllEntriesFromOne)
+{
+    test_entry first(11);
+    test_agent early(22, {first.rpc.address()});
+    BOOST_REQUIRE(first.events.waitFor<agent_joined>().has_value());
+    test_entry second(12, {first.rpc.address()});
+    test_entry third(13, {first.rpc.address()});
+    BOOST_TEST(waitForPeers(first, 2));
+    BOOST_TEST(waitForPeers(third, 2));
+    BOOST_TEST(waitForPeers(second, 2));
+    BOOST_TEST(waitForEntries(early, 3));
+    test_agent late(23, {third.rpc.address()});
+    BOOST_TEST(waitForEntries(late, 3));
+}
+
+// Guards against entries that know each other and report the other one twice, since both connect.
+BOOST_AUTO_TEST_CASE(joinsAndLosesAPeerOnceAlthoughBothConnect)
+{
+    for (int round = 0; round < 10; ++round) {
+        std::optional<test_entry> first;
+        first.emplace(11);
+        const std::string firstAddress = first->rpc.address();
+        test_entry second(12, {firstAddress});
+        const std::string secondAddress = second.rpc.address();
+        first->stop();
+        first.emplace(13, std::vector<std::string>{secondAddress}, firstAddress);
+        BOOST_REQUIRE(first->events.waitFor<peer_joined>().has_value());
+        first->events.collect(200ms);
+        second.events.collect(0ms);
+        BOOST_TEST(first->events.count<peer_joined>() == 1U);
+        std::size_t joined = 0;
+        for (const entry_event &event : second.events.seen()) {
+            const auto *peer = std::get_if<peer_joined>(&event);
+            joined += peer != nullptr && peer->info.id.value == 13U ? 1 : 0;
+        }
+        BOOST_TEST(joined == 1U);
+    }
+}
+
+// Guards against an entry that takes itself for a peer when its settings name it.
+BOOST_AUTO_TEST_CASE(isNoPeerOfItself)
+{
+    std::string address;
+    {
+        const test_entry probe(10);
+        address = probe.rpc.address();
+    }
+    test_entry entry(11, {address}, address);
+    test_entry alias(12, {address});
+    BOOST_REQUIRE(alias.events.waitFor<peer_joined>().has_value());
+    entry.events.collect(500ms);
+    BOOST_TEST(entry.events.count<peer_joined>() == 1U);
+}
+
+// Guards against quotas that are computed from lost or mixed reports.
+BOOST_AUTO_TEST_CASE(reportsTheUseOfQuotasToEveryPeer)
+{
+    test_entry first(11);
+    test_entry second(12, {first.rpc.address()});
+    test_entry third(13, {first.rpc.address()});
+    BOOST_REQUIRE(waitForPeers(first, 2));
+    BOOST_REQUIRE(waitForPeers(second, 2));
+    BOOST_REQUIRE(waitForPeers(third, 2));
+    BOOST_REQUIRE(first.rpc.post(report_usage{{{"team-a", 5, 7}, {"team-b", 0, 1}}}));
+    for (test_entry *peer : {&second, &third}) {
+        const auto reported = peer->events.waitFor<peer_reported>();
+        BOOST_REQUIRE(reported.has_value());
+        BOOST_TEST(reported->peer.value == 11U);
+        BOOST_REQUIRE(reported->usage.size() == 2U);
+        BOOST_TEST(reported->usage[0].team == "team-a");
+        BOOST_TEST(reported->usage[0].inProgress == 5U);
+        BOOST_TEST(reported->usage[0].wanted == 7U);
+        BOOST_TEST(reported->usage[1].team == "team-b");
+    }
+}
+
+// Guards against an entry that is taken for another one after it was replaced at the same address.
+BOOST_AUTO_TEST_CASE(tellsTheIncarnationsOfOneAddressApart)
+{
+    std::optional<test_entry> first;
+    first.emplace(11);
+    const std::string address = first->rpc.address();
+    test_entry second(12, {address});
+    BOOST_REQUIRE(second.events.waitFor<peer_joined>().has_value());
+    first->stop();
+    first.emplace(21, std::vector<std::string>{}, address);
+    const auto joined = second.events.waitFor<peer_joined>();
+    BOOST_REQUIRE(joined.has_value());
+    BOOST_TEST(joined->info.id.value == 21U);
+    BOOST_TEST(second.events.count<peer_lost>() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/rpc/raw_peer.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+namespace teaselward
+{
+
+/** Plain TCP client that sends any bytes, valid or not. */
+class raw_peer
+{
+public:
+    /** @param address IP:PORT that is connected to */
+    explicit raw_peer(const std::string &address);
+    ~raw_peer();
+
+    raw_peer(const raw_peer &) = delete;
+    raw_peer &operator=(const raw_peer &) = delete;
+
+    /** @param bytes sent as they are; an error is ignored, since the other side may have closed the connection */
+    void send(const std::string &bytes);
+
+    /** @return whether the other side closes the connection within a generous time */
+    bool isClosedByPeer();
+
+private:
+    int m_descriptor;
+};
+
+} // namespace teaselward
