--- a/src/rpc/entry_rpc_context.h
+++ b/src/rpc/entry_rpc_context.h
@@ -16,6 +16,7 @@
 namespace teaselward
 {
 
+class dialer;
 class forwarder;
 class peer_table;
 
@@ -31,6 +32,7 @@
     agent_session_table &agents;
     peer_table &peers;
     forwarder &forwards;
+    dialer &dialing;
     pending_table<job_answer> &requests; ///< Requests of peers that wait for the decision thread.
 };
 
