Publish, list, check and synchronize configuration files

Cause: operators need to publish changes, learn what became of them and see what the files merge to.

'sync' keeps the versions on which the folder and the log last agreed, so that a stale folder neither undoes changes of others nor removes their files.

--- a/src/config/config_merge.cpp
+++ b/src/config/config_merge.cpp
@@ -77,8 +77,8 @@
     if (content.size() > FileSizeLimit) {
         return config_problem{.file = std::string(name), .line = 0, .key = {}, .why = "the file has more than " + std::to_string(FileSizeLimit) + " bytes"};
     }
-    if (!isUtf8(content)) {
-        return config_problem{.file = std::string(name), .line = 0, .key = {}, .why = "the file is not UTF-8 text"};
+    if (!isPlainText(content)) {
+        return config_problem{.file = std::string(name), .line = 0, .key = {}, .why = "the file is not UTF-8 text, or holds control characters"};
     }
     config_model scratch;
     return mergeFile(name, content, scratch);
--- /dev/null
+++ b/src/config/config_publisher.cpp
@@ -0,0 +1,197 @@
+#include "config/config_publisher.h"
+
+#include "base/clock.h"
+#include "config/config_error.h"
+#include "config/config_merge.h"
+#include "config/config_reader.h"
+#include "config/record_codec.h"
+#include "platform/jittered_backoff.h"
+#include "platform/platform_error.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace teaselward
+{
+
+namespace detail
+{
+
+namespace
+{
+
+// Wait of one read for the record that was appended.
+constexpr std::chrono::milliseconds ReadBackWait(500);
+
+// Returns 128 random bits as text, so that ids of different operators never meet.
+std::string makeAppendId()
+{
+    std::array<unsigned char, 16> bytes{};
+    randombytes_buf(bytes.data(), bytes.size());
+    std::array<char, 33> text{};
+    sodium_bin2hex(text.data(), text.size(), bytes.data(), bytes.size());
+    return text.data();
+}
+
+// Looks for the step that decided on an append id.
+const read_step *findDecision(const std::vector<read_step> &steps, const std::string &id)
+{
+    const auto found = std::find_if(steps.begin(), steps.end(), [&id](const read_step &step) {
+        return step.change.appendId == id && step.result.outcome != fold_outcome::repeated && step.result.outcome != fold_outcome::ignored;
+    });
+    return found == steps.end() ? nullptr : &*found;
+}
+
+// An error that repeating the request does not cure.
+bool isFinal(std::error_code error)
+{
+    return error == platform_error::rejected || error == platform_error::tooLarge;
+}
+
+} // namespace
+
+class config_publisher_private
+{
+public:
+    config_publisher_private(config_publisher_settings options, platform_log &log)
+        : settings(std::move(options))
+        , platform(log)
+        , reader(log, settings.stream)
+        , backoff(settings.retryLimit, std::random_device{}())
+    {
+    }
+
+    const config_publisher_settings settings;
+    platform_log &platform;
+    config_reader reader;
+    jittered_backoff backoff;
+
+    bool waitForRetry(mono_time until);
+    publish_result append(const change_record &change);
+    publish_result current(std::error_code error, const std::string &file) const;
+};
+
+// Sleeps before the next attempt. Returns false if the time for attempts is over.
+bool config_publisher_private::waitForRetry(mono_time until)
+{
+    const auto delay = backoff.next();
+    if (mono_clock::now() + delay >= until) {
+        return false;
+    }
+    std::this_thread::sleep_for(delay);
+    return true;
+}
+
+publish_result config_publisher_private::current(std::error_code error, const std::string &file) const
+{
+    const auto found = reader.fold().files().find(file);
+    if (found == reader.fold().files().end()) {
+        return {.error = error, .version = 0, .author = {}, .problem = std::nullopt};
+    }
+    return {.error = error, .version = found->second.version, .author = found->second.author, .problem = std::nullopt};
+}
+
+// Appends until one attempt is known to have taken effect, and reads until the record is folded.
+publish_result config_publisher_private::append(const change_record &change)
+{
+    const std::string body = encodeRecord(change);
+    const mono_time until = mono_clock::now() + settings.timeout;
+    bool isAppended = false;
+    bool isMaybeAppended = false;
+    backoff.reset();
+    do {
+        if (!isAppended) {
+            std::uint64_t offset = 0;
+            const std::error_code error = platform.append(settings.stream, body, settings.appendTimeout, offset);
+            if (isFinal(error)) {
+                return current(configErrorFromPlatform(error), change.file);
+            }
+            isAppended = !error;
+            isMaybeAppended = isMaybeAppended || (error && error != platform_error::unavailable);
+        }
+        std::vector<read_step> steps;
+        const std::error_code error = reader.poll(isAppended ? ReadBackWait : std::chrono::milliseconds(0), steps);
+        if (const read_step *step = findDecision(steps, change.appendId)) {
+            const fold_result &result = step->result;
+            const bool isAccepted = result.outcome == fold_outcome::accepted;
+            const config_error rejection = result.outcome == fold_outcome::conflict ? config_error::conflict : config_error::invalid;
+            return {
+                .error = isAccepted ? std::error_code() : std::error_code(rejection),
+                .version = result.currentVersion,
+                .author = result.currentAuthor,
+                .problem = result.problem,
+            };
+        }
+        if (isAppended && !error) {
+            continue; // The read has waited already.
+        }
+        if (!waitForRetry(until)) {
+            break;
+        }
+    } while (mono_clock::now() < until);
+    return current(isAppended || isMaybeAppended ? config_error::outcomeUnknown : config_error::logUnavailable, change.file);
+}
+
+} // namespace detail
+
+config_publisher::config_publisher(config_publisher_settings settings, platform_log &platform)
+    : d(std::make_unique<detail::config_publisher_private>(std::move(settings), platform))
+{
+}
+
+config_publisher::~config_publisher() = default;
+
+std::error_code config_publisher::load()
+{
+    const mono_time until = mono_clock::now() + d->settings.timeout;
+    std::vector<read_step> steps;
+    d->backoff.reset();
+    do {
+        const std::error_code error = d->reader.poll(std::chrono::milliseconds(0), steps);
+        if (error == config_error::logRejected || (error && !d->waitForRetry(until))) {
+            return error;
+        }
+    } while (!d->reader.isCurrent());
+    return {};
+}
+
+publish_result config_publisher::publish(const std::string &file, std::optional<std::string> content, std::optional<std::uint64_t> base)
+{
+    publish_result known = d->current({}, file);
+    if (!content && known.version == 0 && !base) {
+        known.error = config_error::absent;
+        return known;
+    }
+    if (content) {
+        known.problem = checkFile(file, *content);
+    }
+    if (known.problem) {
+        known.error = config_error::invalid;
+        return known;
+    }
+    return d->append({
+        .file = file,
+        .content = std::move(content),
+        .baseVersion = base.value_or(known.version),
+        .appendId = detail::makeAppendId(),
+        .author = d->settings.author,
+    });
+}
+
+const config_fold &config_publisher::fold() const
+{
+    return d->reader.fold();
+}
+
+bool config_publisher::hasGap() const
+{
+    return d->reader.hasGap();
+}
+
+} // namespace teaselward
--- a/src/config/config_reader.cpp
+++ b/src/config/config_reader.cpp
@@ -116,7 +116,7 @@
     const auto copy = peers == nullptr ? std::nullopt : peers->newest();
     const auto record = copy ? decodeRecord(copy->text) : std::nullopt;
     const auto *snapshot = record ? std::get_if<snapshot_record>(&*record) : nullptr;
-    if (snapshot == nullptr || !fold.adopt(*snapshot)) {
+    if (snapshot == nullptr || snapshot->covers != copy->offset || !fold.adopt(*snapshot)) {
         return false;
     }
     hasState = true;
--- /dev/null
+++ b/src/config/publish_result.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "config/config_problem.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <system_error>
+
+namespace teaselward
+{
+
+/** What became of a change that was published. */
+struct publish_result {
+    std::error_code error; ///< No error if the change was accepted; else an error of the configuration layer.
+    std::uint64_t version = 0; ///< Version of the file on the log, also after a conflict; zero if it is absent.
+    std::string author; ///< Author of that version.
+    std::optional<config_problem> problem; ///< Set if the file is invalid.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/config/synced_file.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace teaselward
+{
+
+/** State of a file when the folder and the log last agreed on it. */
+struct synced_file {
+    std::uint64_t version = 0; ///< Version on the log.
+    std::string hash; ///< Hash of the content.
+};
+
+} // namespace teaselward
--- a/src/config/text.cpp
+++ b/src/config/text.cpp
@@ -36,13 +36,14 @@
 }
 
 // Decodes each sequence, since overlong forms and surrogates have valid lead and continuation bytes.
-bool isUtf8(std::string_view text)
+bool isPlainText(std::string_view text)
 {
     constexpr std::uint32_t leastOfLength[] = {0, 0, 0x80, 0x800, 0x10000};
     for (std::size_t i = 0; i < text.size();) {
         const auto lead = static_cast<unsigned char>(text[i]);
         const std::size_t length = lead < 0x80 ? 1 : lead >= 0xf0 ? 4 : lead >= 0xe0 ? 3 : lead >= 0xc0 ? 2 : 0;
-        if (length == 0 || lead >= 0xf8 || i + length > text.size()) {
+        const bool isControl = (lead < ' ' && lead != '\t' && lead != '\n' && lead != '\r') || lead == 0x7f;
+        if (isControl || length == 0 || lead >= 0xf8 || i + length > text.size()) {
             return false;
         }
         std::uint32_t point = length == 1 ? lead : lead & (0x7fU >> length);
--- a/src/config/text.h
+++ b/src/config/text.h
@@ -29,10 +29,10 @@
 bool isPrintable(std::string_view text);
 
 /**
- * Tells whether a text is UTF-8, as JSON needs it.
+ * Tells whether a text is UTF-8, as JSON needs it, without control characters, which JSON would make six times as long.
  * @param text the text
- * @return whether every sequence is complete, shortest and no surrogate
+ * @return whether every sequence is complete, shortest and no surrogate, and only tabs and line ends are below ' '
  */
-bool isUtf8(std::string_view text);
+bool isPlainText(std::string_view text);
 
 } // namespace teaselward
--- /dev/null
+++ b/tests/config/config_reader_test.cpp
@@ -0,0 +1,144 @@
+#include "config/config_error.h"
+#include "config/config_reader.h"
+#include "config/record_codec.h"
+#include "platform/memory_log.h"
+#include "support/config_stream.h"
+#include "support/faulty_log.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// Reads to the end of the stream.
+void readAll(config_reader &reader)
+{
+    std::vector<read_step> steps;
+    do {
+        BOOST_REQUIRE(!reader.poll(0ms, steps));
+    } while (!reader.isCurrent() || reader.fold().offset() + 1 < reader.nextOffset());
+}
+
+std::uint64_t appendSnapshot(platform_log &log, const config_reader &reader)
+{
+    std::uint64_t offset = 0;
+    BOOST_REQUIRE(!log.append(TestStream, encodeRecord(reader.fold().snapshot()), 0ms, offset));
+    return offset;
+}
+
+// Peer whose copy a test can change.
+struct fixed_copy : peer_copy {
+    explicit fixed_copy(const config_reader &reader)
+        : copy({.offset = reader.fold().offset(), .text = encodeRecord(reader.fold().snapshot())})
+    {
+    }
+
+    std::optional<config_copy> newest() override
+    {
+        return copy;
+    }
+
+    config_copy copy;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(config_reader_test)
+
+// Guards against a start that misses the changes between the state of a snapshot and its record.
+BOOST_AUTO_TEST_CASE(startsFromTheNewestSnapshot)
+{
+    memory_log log({.pageLimit = 100}); // One record for each page.
+    config_reader first(log, TestStream);
+    const auto a = appendChange(log, "a", "[kind x]\n", 0);
+    readAll(first);
+    const auto b = appendChange(log, "b", "[kind y]\n", 0);
+    const auto snapshot = appendSnapshot(log, first); // Covers a, not b.
+    const auto c = appendChange(log, "a", "[kind z]\n", a);
+    readAll(first);
+    log.dropBelow(TestStream, b);
+    config_reader second(log, TestStream);
+    readAll(second);
+    BOOST_TEST(second.fold().files().at("a").version == c);
+    BOOST_TEST(second.fold().files().at("b").version == b);
+    BOOST_TEST(second.fold().offset() == first.fold().offset());
+    BOOST_TEST(second.oldestNeeded() == snapshot);
+    BOOST_TEST(!second.hasGap());
+    // Two snapshots at once are harmless.
+    appendSnapshot(log, first);
+    appendSnapshot(log, second);
+    config_reader third(log, TestStream);
+    readAll(third);
+    readAll(first);
+    BOOST_TEST(encodeRecord(third.fold().snapshot()) == encodeRecord(first.fold().snapshot()));
+}
+
+// Guards against changes that vanish silently: without a snapshot a late reader knows that something is missing.
+BOOST_AUTO_TEST_CASE(reportsALossThatNoSnapshotCovers)
+{
+    memory_log log;
+    appendChange(log, "a", "[kind x]\n", 0);
+    config_reader early(log, TestStream);
+    readAll(early);
+    const auto b = appendChange(log, "b", "[kind y]\n", 0);
+    log.dropBelow(TestStream, b);
+    config_reader late(log, TestStream);
+    readAll(late);
+    BOOST_TEST(late.hasGap());
+    BOOST_TEST(!late.fold().files().contains("a"));
+    readAll(early);
+    BOOST_TEST(early.fold().files().size() == 2U);
+    // A peer that has read the lost records fills the gap.
+    fixed_copy peer(early);
+    config_reader helped(log, TestStream, &peer);
+    readAll(helped);
+    BOOST_TEST(!helped.hasGap());
+    BOOST_TEST(helped.fold().files().size() == 2U);
+}
+
+// Guards against a reader that goes back when a peer or a snapshot is older than its own state.
+BOOST_AUTO_TEST_CASE(neverGoesBack)
+{
+    memory_log log;
+    const auto first = appendChange(log, "a", "[kind x]\n", 0);
+    config_reader old(log, TestStream);
+    readAll(old);
+    fixed_copy peer(old);
+    config_reader reader(log, TestStream, &peer);
+    const auto second = appendChange(log, "a", "[kind y]\n", first);
+    readAll(reader);
+    BOOST_TEST(!reader.adoptFromPeers());
+    appendSnapshot(log, old);
+    log.dropBelow(TestStream, second + 1);
+    readAll(reader);
+    BOOST_TEST(reader.fold().files().at("a").version == second);
+    BOOST_TEST(reader.fold().offset() == second + 1);
+    peer.copy.offset = 1000; // Does not match its own text.
+    BOOST_TEST(!reader.adoptFromPeers());
+}
+
+// Guards against an outage in the middle of the start after which records are missing or folded twice.
+BOOST_AUTO_TEST_CASE(continuesAStartAfterAnOutage)
+{
+    memory_log log({.pageLimit = 100});
+    faulty_log broken(log);
+    std::uint64_t version = 0;
+    for (int i = 0; i < 5; ++i) {
+        version = appendChange(log, "a", "[kind x]\n", version);
+    }
+    config_reader reader(broken, TestStream);
+    std::vector<read_step> steps;
+    BOOST_REQUIRE(!reader.poll(0ms, steps));
+    broken.setFaults({.isDown = true});
+    BOOST_TEST((reader.poll(0ms, steps) == config_error::logUnavailable));
+    BOOST_TEST(!reader.hasState());
+    BOOST_TEST(reader.fold().files().empty());
+    broken.setFaults({});
+    readAll(reader);
+    BOOST_TEST(reader.fold().files().at("a").version == version);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
