--- a/src/cli/subcommands.cpp
+++ b/src/cli/subcommands.cpp
@@ -5,6 +5,7 @@
 #include "cli/check_settings_command.h"
 #include "cli/entry_command.h"
 #include "cli/local_command.h"
+#include "cli/config_command.h"
 
 #include <array>
 
@@ -20,6 +21,7 @@
     subcommand{"local", "run all parts as threads of one process", &runLocal},
     subcommand{"check-settings", "check settings files of entries and agents", &runCheckSettings},
     subcommand{"bench", "measure the decisions in virtual time and print a signature", &runBench},
+    subcommand{"config", "publish, list and check configuration files", &runConfig},
 };
 
 } // namespace
