Judge calls to endpoints by what was sent and received

Cause: libcurl reports success for a response that ends within its headers, and for one without a length that the death of the endpoint cuts off; such a task would have passed as complete. Conclusion: a call is not started only if no byte was accepted for sending or the endpoint promises it.

--- a/src/http/call_facts.h
+++ b/src/http/call_facts.h
@@ -15,7 +15,7 @@
     bool saysNotRun = false; ///< The response states that the endpoint did not run the task.
     std::uint64_t bytesSent = 0; ///< Bytes of the request that the system accepted for sending.
     long status = 0; ///< HTTP status; zero if none was received.
-    std::string body; ///< Body of the response, or a text about the failure.
+    std::string body{}; ///< Body of the response, or a text about the failure.
     std::chrono::microseconds duration{};
 };
 
--- a/src/http/endpoint_call.cpp
+++ b/src/http/endpoint_call.cpp
@@ -3,6 +3,8 @@
 #include "http/http_error.h"
 
 #include <algorithm>
+#include <string>
+#include <string_view>
 #include <system_error>
 #include <utility>
 
@@ -15,9 +17,30 @@
 // Header in which an endpoint that refuses a task promises that it did not run it.
 constexpr const char *NotRunHeader = "Teaselward-Not-Run";
 
+constexpr long FirstFinalStatus = 200;
+constexpr long NoContent = 204;
+
 // Appends one part of the response; a smaller return value makes the library give up the request.
 std::size_t receiveBody(const char *data, std::size_t size, std::size_t count, void *self);
 
+// Takes one line of the headers.
+std::size_t receiveHeader(const char *data, std::size_t size, std::size_t count, void *self);
+
+// Returns the value of a header of the final response; empty if there is none.
+std::string_view headerOf(CURL *handle, const char *name)
+{
+    curl_header *header = nullptr;
+    return curl_easy_header(handle, name, 0, CURLH_HEADER, -1, &header) == CURLHE_OK ? header->value : "";
+}
+
+// Tells whether the end of a response is marked. Otherwise a response that the endpoint's death has cut off looks whole.
+bool isFramed(CURL *handle, long status)
+{
+    curl_off_t length = -1;
+    curl_easy_getinfo(handle, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+    return status == NoContent || length >= 0 || headerOf(handle, "Transfer-Encoding") == "chunked";
+}
+
 // Builds the URL. The kind is escaped, because its name may hold any character.
 std::string urlOf(CURL *handle, const std::string &address, const std::string &kind)
 {
@@ -70,6 +93,7 @@
     CURL *handle;
     curl_slist *headers = nullptr;
     std::string body;
+    bool headersComplete = false;
     bool resultTooLarge = false;
 };
 
@@ -90,6 +114,19 @@
     return bytes;
 }
 
+// The library takes a connection that ends within the headers for the end of an empty response.
+std::size_t receiveHeader(const char *data, std::size_t size, std::size_t count, void *self)
+{
+    const std::string_view line(data, size * count);
+    auto *call = static_cast<detail::endpoint_call_private *>(self);
+    if (line.starts_with("HTTP/")) {
+        call->headersComplete = false; // A further response follows an interim one.
+    } else if (line == "\r\n" || line == "\n") {
+        call->headersComplete = true;
+    }
+    return line.size();
+}
+
 } // namespace
 
 endpoint_call::endpoint_call(const endpoint_client_settings &settings, accepted_call accepted, std::chrono::milliseconds timeLimit)
@@ -116,6 +153,8 @@
     curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(payload.size()));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &receiveBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, d.get());
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &receiveHeader);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, d.get());
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(settings.connectTimeout, timeLimit).count()));
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeLimit.count()));
@@ -140,20 +179,26 @@
 call_facts endpoint_call::facts(CURLcode result)
 {
     call_facts facts;
-    facts.answered = result == CURLE_OK;
-    facts.timedOut = result == CURLE_OPERATION_TIMEDOUT && mono_clock::now() >= d->accepted.deadline;
+    curl_easy_getinfo(d->handle, CURLINFO_RESPONSE_CODE, &facts.status);
+    facts.answered = result == CURLE_OK && d->headersComplete && facts.status >= FirstFinalStatus && isFramed(d->handle, facts.status);
     facts.resultTooLarge = d->resultTooLarge;
     // The library counts only what the system accepted, so zero proves that nothing was sent.
     long sent = 0;
     curl_easy_getinfo(d->handle, CURLINFO_REQUEST_SIZE, &sent);
     facts.bytesSent = static_cast<std::uint64_t>(sent);
-    curl_easy_getinfo(d->handle, CURLINFO_RESPONSE_CODE, &facts.status);
+    // Before the first byte it may also be the time limit of the connection attempt.
+    facts.timedOut = result == CURLE_OPERATION_TIMEDOUT && (sent > 0 || mono_clock::now() >= d->accepted.deadline);
     curl_off_t duration = 0;
     curl_easy_getinfo(d->handle, CURLINFO_TOTAL_TIME_T, &duration);
     facts.duration = std::chrono::microseconds(duration);
-    curl_header *header = nullptr;
-    facts.saysNotRun = curl_easy_header(d->handle, NotRunHeader, 0, CURLH_HEADER, -1, &header) == CURLHE_OK && std::string_view(header->value) == "1";
-    facts.body = facts.answered ? std::move(d->body) : d->resultTooLarge ? "the result is above the limit" : curl_easy_strerror(result);
+    facts.saysNotRun = headerOf(d->handle, NotRunHeader) == "1";
+    if (facts.answered) {
+        facts.body = std::move(d->body);
+    } else if (d->resultTooLarge) {
+        facts.body = "the result is above the limit";
+    } else {
+        facts.body = result == CURLE_OK ? "the response is not complete" : curl_easy_strerror(result);
+    }
     return facts;
 }
 
