Add the administration listener and the metrics

Cause: operators and the platform's balancer need the state of an entry, a drain and metrics. Change: second listener with a bearer token compared in constant time, routes for health, readiness, state, metrics, drain and cancellation; request metrics by Boost.Accumulators on the reply thread; text exposition format; tests of bad input, waiting requests, crossed and late answers.

--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -37,11 +37,11 @@
 
 } // namespace
 
-caller_api::caller_api(const front_end_settings &settings, const ticket_codec &codec, event_dispatcher &dispatcher, bounded_ring<http_reply> &replies)
+caller_api::caller_api(const front_end_settings &settings, const ticket_codec &codec, event_dispatcher &dispatcher, finish_reporter &reporter)
     : m_settings(settings)
     , m_codec(codec)
     , m_dispatcher(dispatcher)
-    , m_replies(replies)
+    , m_reporter(reporter)
 {
 }
 
@@ -63,8 +63,7 @@
 
 void caller_api::finished(const http_response &response, bool delivered, std::chrono::microseconds duration)
 {
-    // A full ring loses the observation only; the listener's thread must not block.
-    m_replies.tryPush(request_finished{request_origin::caller, response.why, delivered, duration});
+    m_reporter.report(response, delivered, duration);
 }
 
 bool caller_api::issueTickets(http_exchange &exchange, std::string_view /*argument*/)
--- a/src/http/caller_api.h
+++ b/src/http/caller_api.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "base/bounded_ring.h"
 #include "http/event_dispatcher.h"
+#include "http/finish_reporter.h"
 #include "http/front_end_settings.h"
-#include "http/http_reply.h"
 #include "http/request_handler.h"
 #include "http/ticket_codec.h"
 
@@ -21,9 +20,9 @@
      * @param settings limits of the interface
      * @param codec codec of the tickets
      * @param dispatcher way to the decisions
-     * @param replies ring of the reply thread, which counts the requests
+     * @param reporter receiver of the requests that have ended
      */
-    caller_api(const front_end_settings &settings, const ticket_codec &codec, event_dispatcher &dispatcher, bounded_ring<http_reply> &replies);
+    caller_api(const front_end_settings &settings, const ticket_codec &codec, event_dispatcher &dispatcher, finish_reporter &reporter);
 
     bool handle(http_exchange &exchange) override;
     http_response refuseLargeBody() override;
@@ -38,7 +37,7 @@
     const front_end_settings &m_settings;
     const ticket_codec &m_codec;
     event_dispatcher &m_dispatcher;
-    bounded_ring<http_reply> &m_replies;
+    finish_reporter &m_reporter;
 };
 
 } // namespace teaselward
--- a/src/http/front_end.cpp
+++ b/src/http/front_end.cpp
@@ -3,17 +3,30 @@
 #include "base/duty_thread.h"
 #include "http/caller_api.h"
 #include "http/event_dispatcher.h"
+#include "http/http_error.h"
 #include "http/http_listener.h"
+#include "http/listen_address.h"
+#include "http/operator_api.h"
 #include "http/pending_requests.h"
 #include "http/reply_writer.h"
 #include "http/ticket_codec.h"
 
+#include <cstdint>
 #include <optional>
+#include <system_error>
 #include <utility>
 
 namespace teaselward
 {
 
+namespace
+{
+
+// Operators and the balancer open few connections; the limit keeps them from using up the descriptors of the process.
+constexpr std::uint32_t OperatorConnections = 64;
+
+} // namespace
+
 namespace detail
 {
 
@@ -25,15 +38,45 @@
         , codec(settings.ticketKey)
         , replies(settings.ringCapacity)
         , callerDispatcher(request_origin::caller, callerRequests, events)
-        , callers(settings, codec, callerDispatcher, replies)
-        , writer(codec, callerRequests, operatorRequests, log)
+        , operatorDispatcher(request_origin::operators, operatorRequests, events)
+        , callerReporter(request_origin::caller, replies)
+        , operatorReporter(request_origin::operators, replies)
+        , callers(settings, codec, callerDispatcher, callerReporter)
+        , operators(settings, codec, operatorDispatcher, operatorReporter)
+        , writer(
+              codec,
+              callerRequests,
+              operatorRequests,
+              [this](request_origin origin) {
+                  return connections(origin);
+              },
+              log)
         , callerListener({settings.listen, settings.bodyLimit, settings.connectionLimit, settings.idleTimeout}, callers, log)
     {
+        if (!settings.adminListen.empty()) {
+            openOperatorListener(log);
+        }
         replyThread.emplace("reply", [this] {
             writeReplies();
         });
     }
 
+    void openOperatorListener(decision_log &log)
+    {
+        if (settings.adminToken.empty() && !listen_address(settings.adminListen).isLoopback()) {
+            throw std::system_error(http_error::tokenMissing, settings.adminListen);
+        }
+        operatorListener.emplace(http_listener_settings{settings.adminListen, settings.bodyLimit, OperatorConnections, settings.idleTimeout}, operators, log);
+    }
+
+    std::int64_t connections(request_origin origin) const
+    {
+        if (origin == request_origin::operators) {
+            return operatorListener ? operatorListener->connections() : 0;
+        }
+        return callerListener.connections();
+    }
+
     // Duty of the reply thread.
     void writeReplies()
     {
@@ -49,9 +92,14 @@
     pending_requests callerRequests;
     pending_requests operatorRequests;
     event_dispatcher callerDispatcher;
+    event_dispatcher operatorDispatcher;
+    finish_reporter callerReporter;
+    finish_reporter operatorReporter;
     caller_api callers;
+    operator_api operators;
     reply_writer writer;
     http_listener callerListener;
+    std::optional<http_listener> operatorListener;
     std::optional<duty_thread> replyThread;
 };
 
@@ -72,6 +120,11 @@
     return d->callerListener.address();
 }
 
+std::string front_end::operatorAddress() const
+{
+    return d->operatorListener ? d->operatorListener->address() : std::string();
+}
+
 bool front_end::post(entry_action reply)
 {
     return d->replies.push(std::move(reply));
@@ -81,9 +134,15 @@
 void front_end::stop()
 {
     d->callerListener.quiesce();
+    if (d->operatorListener) {
+        d->operatorListener->quiesce();
+    }
     d->replies.close();
     d->replyThread.reset();
     d->callerListener.stop();
+    if (d->operatorListener) {
+        d->operatorListener->stop();
+    }
 }
 
 } // namespace teaselward
--- a/src/http/front_end.h
+++ b/src/http/front_end.h
@@ -40,6 +40,9 @@
     /** @return address of the callers' listener as IP:PORT, with the port that the system chose if none was set */
     std::string callerAddress() const;
 
+    /** @return address of the operators' listener as IP:PORT; empty if there is none */
+    std::string operatorAddress() const;
+
     /**
      * Hands over an answer: reply_tickets, reply_job or reply_status. It blocks while the ring of answers is full.
      * @param reply the answer
--- /dev/null
+++ b/src/http/metrics_codec.cpp
@@ -0,0 +1,111 @@
+#include "http/metrics_codec.h"
+
+#include "metrics/exposition_writer.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace teaselward
+{
+
+namespace
+{
+
+/** Metric of each queue. */
+struct queue_metric {
+    std::string_view name;
+    std::string_view type;
+    std::string_view help;
+    double (*value)(const queue_status &queue);
+};
+
+constexpr std::array QueueMetrics = {
+    queue_metric{"teaselward_queued_tasks",
+                 "gauge",
+                 "Tasks that wait in the queue.",
+                 [](const queue_status &queue) {
+                     return static_cast<double>(queue.queued);
+                 }},
+    queue_metric{"teaselward_started_tasks",
+                 "gauge",
+                 "Tasks that are sent to an agent and not finished.",
+                 [](const queue_status &queue) {
+                     return static_cast<double>(queue.started);
+                 }},
+    queue_metric{"teaselward_admitted_tasks_total",
+                 "counter",
+                 "Tasks that were admitted.",
+                 [](const queue_status &queue) {
+                     return static_cast<double>(queue.admitted);
+                 }},
+    queue_metric{"teaselward_refused_tasks_total",
+                 "counter",
+                 "Tasks that were refused.",
+                 [](const queue_status &queue) {
+                     return static_cast<double>(queue.refused);
+                 }},
+};
+
+// Indexed by the value of the enumerator.
+constexpr std::array<std::string_view, 5> Healths = {"healthy", "saturated", "failing", "leaving", "lost"};
+
+void writeGauge(exposition_writer &writer, std::string_view name, std::string_view help, double value)
+{
+    writer.family(name, "gauge", help);
+    writer.sample(name, {}, value);
+}
+
+void writeQueues(exposition_writer &writer, const std::vector<queue_status> &queues)
+{
+    for (const queue_metric &metric : QueueMetrics) {
+        writer.family(metric.name, metric.type, metric.help);
+        for (const queue_status &queue : queues) {
+            writer.sample(metric.name, {{"kind", queue.kind}, {"team", queue.team}}, metric.value(queue));
+        }
+    }
+}
+
+// Counts the endpoints by health. One series for each of several thousand endpoints would cost more than it tells.
+void writeEndpoints(exposition_writer &writer, const std::vector<endpoint_status> &endpoints)
+{
+    writer.family("teaselward_endpoints", "gauge", "Endpoints by health.");
+    for (std::size_t i = 0; i < Healths.size(); ++i) {
+        const auto count = std::count_if(endpoints.begin(), endpoints.end(), [i](const endpoint_status &endpoint) {
+            return static_cast<std::size_t>(endpoint.health) == i;
+        });
+        writer.sample("teaselward_endpoints", {{"health", Healths[i]}}, static_cast<double>(count));
+    }
+    std::uint64_t credits = 0;
+    std::uint64_t outstanding = 0;
+    for (const endpoint_status &endpoint : endpoints) {
+        credits += endpoint.credits;
+        outstanding += endpoint.outstanding;
+    }
+    writeGauge(writer, "teaselward_slot_credits", "Free slot credits that the entry holds.", static_cast<double>(credits));
+    writeGauge(writer, "teaselward_outstanding_tasks", "Tasks that the entry has started at endpoints.", static_cast<double>(outstanding));
+}
+
+} // namespace
+
+http_response encodeMetrics(const entry_status &status, const request_metrics &requests, std::int64_t callerConnections, std::int64_t operatorConnections)
+{
+    exposition_writer writer;
+    requests.write(writer);
+    writer.family("teaselward_connections", "gauge", "Open connections.");
+    writer.sample("teaselward_connections", {{"listener", "caller"}}, static_cast<double>(callerConnections));
+    writer.sample("teaselward_connections", {{"listener", "operator"}}, static_cast<double>(operatorConnections));
+    writeGauge(writer, "teaselward_draining", "1 while the entry drains.", status.draining ? 1 : 0);
+    writeGauge(writer, "teaselward_rules_offset", "Log offset of the rules in force.", static_cast<double>(status.rulesOffset));
+    writeGauge(writer, "teaselward_running_jobs", "Jobs without a final answer.", static_cast<double>(status.runningJobs));
+    writeGauge(writer, "teaselward_kept_answers", "Finished jobs whose answers are kept.", static_cast<double>(status.keptAnswers));
+    writeGauge(writer, "teaselward_peers", "Connected entries.", static_cast<double>(status.peers.size()));
+    writeQueues(writer, status.queues);
+    writeEndpoints(writer, status.endpoints);
+    http_response response;
+    response.body = writer.take();
+    response.contentType = "text/plain; version=0.0.4; charset=utf-8";
+    return response;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/operator_api.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "http/bearer_token.h"
+#include "http/event_dispatcher.h"
+#include "http/finish_reporter.h"
+#include "http/front_end_settings.h"
+#include "http/request_handler.h"
+#include "http/ticket_codec.h"
+
+#include <string_view>
+
+namespace teaselward
+{
+
+/** Routes for operators and for the platform's balancer. It runs on the thread of the administration listener. */
+class operator_api : public request_handler
+{
+public:
+    /**
+     * Creates the routes. All references must outlive the object.
+     * @param settings token and limits
+     * @param codec codec of the tickets
+     * @param dispatcher way to the decisions
+     * @param reporter receiver of the requests that have ended
+     */
+    operator_api(const front_end_settings &settings, const ticket_codec &codec, event_dispatcher &dispatcher, finish_reporter &reporter);
+
+    bool handle(http_exchange &exchange) override;
+    http_response refuseLargeBody() override;
+    void finished(const http_response &response, bool delivered, std::chrono::microseconds duration) override;
+
+private:
+    bool reportLiveness(http_exchange &exchange, std::string_view argument);
+    bool reportReadiness(http_exchange &exchange, std::string_view argument);
+    bool reportStatus(http_exchange &exchange, std::string_view argument);
+    bool reportMetrics(http_exchange &exchange, std::string_view argument);
+    bool startDrain(http_exchange &exchange, std::string_view argument);
+    bool cancelJob(http_exchange &exchange, std::string_view argument);
+
+    bool requestStatus(http_exchange &exchange, status_view view);
+
+    const front_end_settings &m_settings;
+    const ticket_codec &m_codec;
+    event_dispatcher &m_dispatcher;
+    finish_reporter &m_reporter;
+    bearer_token m_token;
+};
+
+} // namespace teaselward
--- a/src/http/reply_writer.h
+++ b/src/http/reply_writer.h
@@ -4,9 +4,11 @@
 #include "http/pending_requests.h"
 #include "http/ticket_codec.h"
 #include "log/decision_log.h"
+#include "metrics/request_metrics.h"
 
-#include <span>
-#include <string>
+#include <cstdint>
+#include <functional>
+#include <optional>
 
 namespace teaselward
 {
@@ -20,9 +22,14 @@
      * @param codec codec of the tickets
      * @param callers waiting requests of callers
      * @param operators waiting requests of operators
+     * @param connections tells the open connections of a listener
      * @param log receiver of the log lines
      */
-    reply_writer(const ticket_codec &codec, pending_requests &callers, pending_requests &operators, decision_log &log);
+    reply_writer(const ticket_codec &codec,
+                 pending_requests &callers,
+                 pending_requests &operators,
+                 std::function<std::int64_t(request_origin)> connections,
+                 decision_log &log);
 
     /**
      * Applies one item of the ring.
@@ -38,12 +45,18 @@
     void onFinished(const request_finished &finished);
     void writeTickets(const reply_tickets &reply);
     void writeAnswer(const reply_job &reply);
+    void writeStatus(const reply_status &reply);
+    http_response writeFull(const entry_status &status) const;
+    http_response writeReadiness(const entry_status &status) const;
+    http_response writeMetrics(const entry_status &status) const;
     std::optional<pending_request> takeRequest(const request_id &request);
 
     const ticket_codec &m_codec;
     pending_requests &m_callers;
     pending_requests &m_operators;
+    std::function<std::int64_t(request_origin)> m_connections;
     decision_log &m_log;
+    request_metrics m_metrics;
 };
 
 } // namespace teaselward
--- /dev/null
+++ b/src/metrics/duration_distribution.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class duration_distribution_private;
+}
+
+/**
+ * Distribution of durations with count, sum, mean, maximum and estimated quantiles (extended P-square). Its memory does not
+ * grow with the number of values. Only the thread that owns it may use it.
+ */
+class duration_distribution
+{
+public:
+    duration_distribution();
+    ~duration_distribution();
+
+    duration_distribution(duration_distribution &&) noexcept;
+    duration_distribution &operator=(duration_distribution &&) noexcept;
+
+    /**
+     * Adds a value.
+     * @param value the duration
+     */
+    void add(std::chrono::microseconds value);
+
+    /** @return number of values */
+    std::uint64_t count() const;
+
+    /** @return sum of all values */
+    std::chrono::microseconds sum() const;
+
+    /** @return mean of all values; zero if there is none */
+    std::chrono::microseconds mean() const;
+
+    /** @return largest value; zero if there is none */
+    std::chrono::microseconds max() const;
+
+    /**
+     * Estimates a quantile. It is exact for up to 64 values.
+     * @param probability 0.5, 0.9, 0.99 or 0.999
+     * @return the quantile; zero if there is no value
+     * @throws std::invalid_argument if there is no estimate for the probability
+     */
+    std::chrono::microseconds quantile(double probability) const;
+
+private:
+    std::unique_ptr<detail::duration_distribution_private> d;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/metrics/exposition_writer.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace teaselward
+{
+
+/** Writes metrics in the text exposition format, version 0.0.4. */
+class exposition_writer
+{
+public:
+    using label = std::pair<std::string_view, std::string_view>; ///< Name and value.
+
+    /**
+     * Starts a family of samples.
+     * @param name name of the metric
+     * @param type counter, gauge or summary
+     * @param help one line about the metric
+     */
+    void family(std::string_view name, std::string_view type, std::string_view help);
+
+    /**
+     * Writes one sample.
+     * @param name name of the metric, with a suffix such as _count if the family is a summary
+     * @param labels labels; their values may hold any characters
+     * @param value the value
+     */
+    void sample(std::string_view name, std::initializer_list<label> labels, double value);
+
+    /** @return the text so far; it is moved out of the writer */
+    std::string take();
+
+private:
+    std::string m_text;
+};
+
+} // namespace teaselward
--- a/tests/http/scripted_entry.cpp
+++ b/tests/http/scripted_entry.cpp
@@ -40,6 +40,7 @@
 {
     front_end_settings settings;
     settings.listen = "127.0.0.1:0";
+    settings.adminListen = "127.0.0.1:0";
     settings.ticketKey = "secret of the tests";
     return settings;
 }
@@ -59,6 +60,11 @@
     return m_front.callerAddress();
 }
 
+std::string scripted_entry::operatorAddress()
+{
+    return m_front.operatorAddress();
+}
+
 int scripted_entry::eventCount() const
 {
     const absl::MutexLock lock(&m_mutex);
@@ -82,6 +88,11 @@
             reply.answer.state = job_state::complete;
             reply.answer.results = job->job.payloads;
             front.post(std::move(reply));
+        } else if (const auto *status = std::get_if<status_requested>(&event)) {
+            reply_status reply;
+            reply.request = status->request;
+            reply.status.rulesOffset = 17;
+            front.post(std::move(reply));
         } else if (const auto *query = std::get_if<job_queried>(&event)) {
             reply_job reply;
             reply.request = query->request;
--- a/tests/http/scripted_entry.h
+++ b/tests/http/scripted_entry.h
@@ -21,7 +21,7 @@
     using script = std::function<void(const entry_event &event, front_end &front)>;
 
     /** Starts a front end on an ephemeral port of the loopback address. Without a script, no event leaves the ring. */
-    explicit scripted_entry(script answer = {}, const front_end_settings &settings = defaultSettings(), std::size_t ringCapacity = 64);
+    explicit scripted_entry(script answer = {}, const front_end_settings &settings = defaultSettings(), std::size_t ringCapacity = 1024);
     ~scripted_entry();
 
     scripted_entry(const scripted_entry &) = delete;
@@ -32,6 +32,7 @@
     front_end &front();
     bounded_ring<entry_event> &events();
     std::string address();
+    std::string operatorAddress();
 
     /** Number of events that the script got. */
     int eventCount() const;
@@ -46,7 +47,10 @@
     std::unique_ptr<duty_thread> m_thread;
 };
 
-/** Script that answers each submission with its payloads as results and each request for tickets with numbered tickets. */
+/**
+ * Script that answers each submission with its payloads as results, each request for tickets with numbered tickets and each
+ * query with a running job.
+ */
 scripted_entry::script echoScript();
 
 /** Text of a ticket that the default settings accept. */
