Add the submit command

Cause: a caller needs a client that never runs a job twice, whatever gets lost. Conclusion: submit covers lost connections and refusals that may pass.

--- a/src/cli/subcommands.cpp
+++ b/src/cli/subcommands.cpp
@@ -1,6 +1,7 @@
 #include "cli/subcommands.h"
 
 #include "cli/bench_command.h"
+#include "cli/submit_command.h"
 
 #include <array>
 
@@ -12,6 +13,7 @@
 
 constexpr std::array Table = {
     subcommand{"bench", "measure the decisions in virtual time and print a signature", &runBench},
+    subcommand{"submit", "submit one job and print its results", &runSubmit},
 };
 
 } // namespace
--- /dev/null
+++ b/src/http/caller_call.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "http/caller_result.h"
+
+#include <curl/curl.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class caller_call_private;
+}
+
+/** One POST request of a caller to an entry. */
+class caller_call
+{
+public:
+    /**
+     * Prepares the request.
+     * @param entry address of the entry as IP:PORT
+     * @param path path of the request
+     * @param body JSON text
+     * @param limit longest time until the response is complete
+     * @throws std::system_error with http_error::clientFailed if the library has no memory left
+     */
+    caller_call(const std::string &entry, const std::string &path, std::string body, std::chrono::milliseconds limit);
+    ~caller_call();
+
+    caller_call(const caller_call &) = delete;
+    caller_call &operator=(const caller_call &) = delete;
+
+    /** @return handle for the library */
+    CURL *handle() const;
+
+    /**
+     * Collects the response after the end of the request.
+     * @param code result that the library reported
+     * @return the response; its body is moved out of the object
+     */
+    caller_result result(CURLcode code);
+
+private:
+    std::unique_ptr<detail::caller_call_private> d;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/caller_result.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+namespace teaselward
+{
+
+/** What a caller got for one HTTP request. */
+struct caller_result {
+    bool answered = false; ///< The whole response was received.
+    long status = 0; ///< HTTP status; zero if there is none.
+    std::string body;
+    std::chrono::microseconds duration{};
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/submit_session.cpp
@@ -0,0 +1,169 @@
+#include "http/submit_session.h"
+
+#include "base/clock.h"
+#include "http/caller_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <random>
+#include <thread>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Time after the job's deadline in which the entry may still send its answer.
+constexpr std::chrono::milliseconds AnswerGrace = std::chrono::seconds(1);
+
+// Refusals that may pass while the time limit runs.
+constexpr std::array Retryable = {
+    reason::overloaded,
+    reason::queueFull,
+    reason::quotaExceeded,
+    reason::noEndpoint,
+    reason::kindFailing,
+    reason::draining,
+    reason::homeUnreachable,
+};
+
+bool isRetryable(const job_answer &answer)
+{
+    return answer.state == job_state::running
+        || (answer.state == job_state::refused && std::find(Retryable.begin(), Retryable.end(), answer.why) != Retryable.end());
+}
+
+job_answer makeAnswer(job_state state, reason why, bool notRun)
+{
+    job_answer answer;
+    answer.state = state;
+    answer.why = why;
+    answer.notRun = notRun;
+    return answer;
+}
+
+} // namespace
+
+namespace detail
+{
+
+class submit_session_private
+{
+public:
+    submit_session_private(const submit_settings &submitSettings, caller_transport &way)
+        : settings(submitSettings)
+        , transport(way)
+        , random(settings.seed)
+        , backoff(settings.firstBackoff)
+    {
+    }
+
+    // Sends a request to the present entry; nothing once the time or the attempts are used up.
+    std::optional<caller_result> send(const std::string &path, const std::string &body)
+    {
+        const auto left = std::chrono::floor<std::chrono::milliseconds>(deadline - mono_clock::now());
+        if (left.count() <= 0 || attempts == settings.attemptLimit) {
+            return std::nullopt;
+        }
+        ++attempts;
+        return transport.post(settings.entries[entry], path, body, left + AnswerGrace);
+    }
+
+    // Waits with jitter before the next attempt, at least for the time that the refusal asked for.
+    void pause(std::chrono::milliseconds retryAfter)
+    {
+        const auto longest = std::max(backoff, retryAfter + backoff / 2);
+        const auto shortest = std::max(backoff / 2, retryAfter);
+        std::uniform_int_distribution<std::chrono::milliseconds::rep> jitter(shortest.count(), std::max(shortest, longest).count());
+        std::this_thread::sleep_until(std::min(deadline, mono_clock::now() + std::chrono::milliseconds(jitter(random))));
+        backoff = std::min(backoff * 2, settings.longestBackoff);
+        entry = (entry + 1) % settings.entries.size();
+    }
+
+    // Takes a ticket. A ticket that gets lost starts nothing.
+    std::optional<std::string> takeTicket(job_answer &refusal)
+    {
+        while (const auto result = send("/v1/tickets", encodeTicketsRequest(1))) {
+            const auto tickets = decodeTickets(result->body);
+            if (result->answered && !tickets.empty()) {
+                return tickets.front();
+            }
+            const auto answer = result->answered ? decodeAnswer(result->body) : std::nullopt;
+            if (answer) {
+                refusal = *answer;
+                if (!isRetryable(*answer)) {
+                    return std::nullopt;
+                }
+            }
+            pause(answer ? answer->retryAfter : std::chrono::milliseconds(0));
+        }
+        return std::nullopt;
+    }
+
+    // Submits until there is a final answer.
+    job_answer submit(const std::string &body)
+    {
+        bool mayRun = false; // A submission without an answer may have been taken.
+        job_answer last = makeAnswer(job_state::refused, reason::overloaded, true);
+        while (const auto result = send("/v1/jobs", body)) {
+            const auto answer = result->answered ? decodeAnswer(result->body) : std::nullopt;
+            if (!answer || answer->state == job_state::running) {
+                mayRun = true;
+            } else {
+                last = *answer;
+                if (!isRetryable(*answer)) {
+                    break;
+                }
+                mayRun = mayRun || !answer->notRun;
+            }
+            pause(answer ? answer->retryAfter : std::chrono::milliseconds(0));
+        }
+        // "Not run" speaks of one submission. Only the answers to all of them together tell that the job did not run.
+        if (mayRun && last.state == job_state::refused) {
+            return makeAnswer(job_state::failed, reason::outcomeUnknown, false);
+        }
+        return last;
+    }
+
+    const submit_settings settings;
+    caller_transport &transport;
+    std::mt19937 random;
+    std::chrono::milliseconds backoff;
+    mono_time deadline;
+    std::uint32_t attempts = 0;
+    std::size_t entry = 0;
+};
+
+} // namespace detail
+
+submit_session::submit_session(const submit_settings &settings, caller_transport &transport)
+    : d(std::make_unique<detail::submit_session_private>(settings, transport))
+{
+}
+
+submit_session::~submit_session() = default;
+
+job_answer submit_session::run(const std::vector<std::string> &payloads)
+{
+    d->deadline = mono_clock::now() + d->settings.timeLimit;
+    job_answer refusal = makeAnswer(job_state::refused, reason::homeUnreachable, true);
+    const auto ticket = d->takeTicket(refusal);
+    if (!ticket) {
+        refusal.notRun = true; // Without a ticket nothing was submitted.
+        return refusal;
+    }
+    d->backoff = d->settings.firstBackoff;
+    submission_request request;
+    request.ticket = *ticket;
+    request.team = d->settings.team;
+    request.kind = d->settings.kind;
+    request.key = d->settings.key;
+    request.timeLimitMs = static_cast<std::uint64_t>(d->settings.timeLimit.count());
+    request.tasks = payloads;
+    // The same bytes each time: a resubmission with other content would be refused.
+    return d->submit(encodeSubmission(request));
+}
+
+} // namespace teaselward
