--- /dev/null
+++ b/src/cli/load_job.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace teaselward
+{
+
+/** One job of a load run. */
+struct load_job {
+    std::chrono::microseconds arrival{}; ///< Time since the start of the run.
+    std::chrono::milliseconds longest{}; ///< Run time of the longest task; zero if it is not known.
+    std::vector<std::string> payloads; ///< Run time in milliseconds as a decimal number.
+};
+
+} // namespace teaselward
--- a/src/http/caller_call.cpp
+++ b/src/http/caller_call.cpp
@@ -83,9 +83,9 @@
     caller_result result;
     result.answered = code == CURLE_OK;
     curl_easy_getinfo(d->handle, CURLINFO_RESPONSE_CODE, &result.status);
-    curl_off_t duration = 0;
-    curl_easy_getinfo(d->handle, CURLINFO_TOTAL_TIME_T, &duration);
-    result.duration = std::chrono::microseconds(duration);
+    curl_off_t connectTime = 0;
+    curl_easy_getinfo(d->handle, CURLINFO_CONNECT_TIME_T, &connectTime);
+    result.connectTime = std::chrono::microseconds(connectTime);
     result.body = std::move(d->response);
     return result;
 }
--- a/src/http/caller_result.h
+++ b/src/http/caller_result.h
@@ -11,7 +11,7 @@
     bool answered = false; ///< The whole response was received.
     long status = 0; ///< HTTP status; zero if there is none.
     std::string body;
-    std::chrono::microseconds duration{};
+    std::chrono::microseconds connectTime{}; ///< Time until the connection was open; about one round trip.
 };
 
 } // namespace teaselward
--- a/src/metrics/duration_distribution.cpp
+++ b/src/metrics/duration_distribution.cpp
@@ -1,19 +1,6 @@
 #include "metrics/duration_distribution.h"
 
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square.hpp>
-#include <boost/accumulators/statistics/max.hpp>
-#include <boost/accumulators/statistics/mean.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
-
-#include <algorithm>
-#include <array>
 #include <cmath>
-#include <iterator>
-#include <stdexcept>
-#include <vector>
 
 namespace teaselward
 {
@@ -21,17 +8,6 @@
 namespace
 {
 
-namespace acc = boost::accumulators;
-
-using accumulator = acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::mean, acc::tag::max, acc::tag::extended_p_square>>;
-
-// Markers of the estimator. Those between the quantiles that are shown make the estimates more exact.
-constexpr std::array Probabilities = {0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.995, 0.999, 0.9995};
-
-// Up to this number the values themselves are kept, because the estimator has no usable quantiles before it has seen a few
-// times as many values as it has markers (two for each probability and three more).
-constexpr std::size_t ExactLimit = 64;
-
 std::chrono::microseconds rounded(double value)
 {
     return std::chrono::microseconds(std::llround(value));
@@ -39,72 +15,34 @@
 
 } // namespace
 
-namespace detail
-{
-
-class duration_distribution_private
-{
-public:
-    accumulator values{acc::extended_p_square_probabilities = Probabilities};
-    std::vector<double> first; ///< The first values, up to ExactLimit.
-};
-
-} // namespace detail
-
-duration_distribution::duration_distribution()
-    : d(std::make_unique<detail::duration_distribution_private>())
-{
-}
-
-duration_distribution::~duration_distribution() = default;
-duration_distribution::duration_distribution(duration_distribution &&) noexcept = default;
-duration_distribution &duration_distribution::operator=(duration_distribution &&) noexcept = default;
-
 void duration_distribution::add(std::chrono::microseconds value)
 {
-    const auto number = static_cast<double>(value.count());
-    d->values(number);
-    if (d->first.size() < ExactLimit) {
-        d->first.push_back(number);
-    }
+    m_values.add(static_cast<double>(value.count()));
 }
 
 std::uint64_t duration_distribution::count() const
 {
-    return acc::count(d->values);
+    return m_values.count();
 }
 
 std::chrono::microseconds duration_distribution::sum() const
 {
-    return rounded(acc::sum(d->values));
+    return rounded(m_values.sum());
 }
 
 std::chrono::microseconds duration_distribution::mean() const
 {
-    return count() > 0 ? rounded(acc::mean(d->values)) : std::chrono::microseconds(0);
+    return rounded(m_values.mean());
 }
 
 std::chrono::microseconds duration_distribution::max() const
 {
-    return count() > 0 ? rounded(acc::max(d->values)) : std::chrono::microseconds(0);
+    return rounded(m_values.max());
 }
 
 std::chrono::microseconds duration_distribution::quantile(double probability) const
 {
-    if (count() == 0) {
-        return std::chrono::microseconds(0);
-    }
-    if (count() > ExactLimit) {
-        const auto *found = std::find(Probabilities.begin(), Probabilities.end(), probability);
-        if (found == Probabilities.end()) {
-            throw std::invalid_argument("no such quantile");
-        }
-        return rounded(acc::extended_p_square(d->values)[std::distance(Probabilities.begin(), found)]);
-    }
-    std::vector<double> sorted = d->first;
-    std::sort(sorted.begin(), sorted.end());
-    const auto rank = static_cast<std::size_t>(std::ceil(probability * static_cast<double>(sorted.size())));
-    return rounded(sorted[std::max<std::size_t>(rank, 1) - 1]);
+    return rounded(m_values.quantile(probability));
 }
 
 } // namespace teaselward
--- a/src/metrics/duration_distribution.h
+++ b/src/metrics/duration_distribution.h
@@ -1,30 +1,17 @@
 #pragma once
 
+#include "metrics/value_distribution.h"
+
 #include <chrono>
 #include <cstdint>
-#include <memory>
 
 namespace teaselward
 {
 
-namespace detail
-{
-class duration_distribution_private;
-}
-
-/**
- * Distribution of durations with count, sum, mean, maximum and estimated quantiles (extended P-square). Its memory does not
- * grow with the number of values. Only the thread that owns it may use it.
- */
+/** Distribution of durations; see value_distribution. */
 class duration_distribution
 {
 public:
-    duration_distribution();
-    ~duration_distribution();
-
-    duration_distribution(duration_distribution &&) noexcept;
-    duration_distribution &operator=(duration_distribution &&) noexcept;
-
     /**
      * Adds a value.
      * @param value the duration
@@ -52,7 +39,7 @@
     std::chrono::microseconds quantile(double probability) const;
 
 private:
-    std::unique_ptr<detail::duration_distribution_private> d;
+    value_distribution m_values;
 };
 
 } // namespace teaselward
--- a/tests/stub/endpoint_stub.cpp
+++ b/tests/stub/endpoint_stub.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstdlib>
 #include <cstring>
 #include <mutex>
 #include <stdexcept>
@@ -35,7 +36,7 @@
             paths.emplace_back(url);
             most = std::max(most, ++running);
         }
-        std::this_thread::sleep_for(settings.delay);
+        std::this_thread::sleep_for(settings.delayFromPayload ? std::chrono::milliseconds(std::atoi(body.c_str())) : settings.delay);
         {
             const std::lock_guard lock(mutex);
             --running;
--- a/tests/stub/endpoint_stub_main.cpp
+++ b/tests/stub/endpoint_stub_main.cpp
@@ -9,6 +9,7 @@
 
 DEFINE_string(listen, "127.0.0.1:0", "address as IP:PORT; port 0 lets the system choose");
 DEFINE_int32(delay_ms, 0, "run time of each task in milliseconds");
+DEFINE_bool(delay_from_payload, false, "the payload states the run time in milliseconds as a decimal number");
 DEFINE_bool(fail, false, "answer each task with status 500");
 DEFINE_bool(decline, false, "refuse each task as not run, with status 503");
 DEFINE_bool(hang_up, false, "close each connection after its request was read");
@@ -23,7 +24,8 @@
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     try {
-        const teaselward::endpoint_stub stub({FLAGS_listen, std::chrono::milliseconds(FLAGS_delay_ms), FLAGS_fail, FLAGS_decline, FLAGS_hang_up});
+        const teaselward::endpoint_stub stub(
+            {FLAGS_listen, std::chrono::milliseconds(FLAGS_delay_ms), FLAGS_delay_from_payload, FLAGS_fail, FLAGS_decline, FLAGS_hang_up});
         std::cout << "listening " << stub.address() << std::endl;
         int signal = 0;
         sigwait(&signals, &signal);
