Bound the bytes of bodies and count answers that closed connections miss

Cause: 4096 connections could each send a body up to the limit, and the first write to a closed connection succeeds, so dropped answers were not counted. Change: limit for the bytes of all bodies of a listener, refusal of a stated size before the body is sent, check of the client's side before a response; a failed start answers what it has taken. Conclusion: the memory of the listeners has a bound.

--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -56,9 +56,10 @@
     return dispatchRoute<caller_api>(routes, *this, exchange);
 }
 
-http_response caller_api::refuseLargeBody()
+http_response caller_api::refuseBody(reason why)
 {
-    return encodeRefusal(reason::tooLarge, true, "the body has more than " + std::to_string(m_settings.bodyLimit) + " bytes");
+    const bool tooLarge = why == reason::tooLarge;
+    return encodeRefusal(why, true, tooLarge ? "the body has more than " + std::to_string(m_settings.bodyLimit) + " bytes" : std::string());
 }
 
 void caller_api::finished(const http_response &response, bool delivered, std::chrono::microseconds duration)
--- a/src/http/front_end.cpp
+++ b/src/http/front_end.cpp
@@ -51,30 +51,37 @@
                   return connections(origin);
               },
               log)
-        , callerListener({settings.listen, settings.bodyLimit, settings.connectionLimit, settings.idleTimeout}, callers, log)
     {
-        if (!settings.adminListen.empty()) {
-            openOperatorListener(log);
+        try {
+            openListeners(log);
+            replyThread.emplace("reply", [this] {
+                writeReplies();
+            });
+        } catch (...) {
+            writer.answerRest(); // A listener may have taken requests already; its end allows no suspended connection.
+            throw;
         }
-        replyThread.emplace("reply", [this] {
-            writeReplies();
-        });
     }
 
-    void openOperatorListener(decision_log &log)
+    void openListeners(decision_log &log)
     {
+        http_listener_settings common{settings.listen, settings.bodyLimit, settings.bufferLimit, settings.connectionLimit, settings.idleTimeout};
+        callerListener.emplace(common, callers, log);
+        if (settings.adminListen.empty()) {
+            return;
+        }
         if (settings.adminToken.empty() && !listen_address(settings.adminListen).isLoopback()) {
             throw std::system_error(http_error::tokenMissing, settings.adminListen);
         }
-        operatorListener.emplace(http_listener_settings{settings.adminListen, settings.bodyLimit, OperatorConnections, settings.idleTimeout}, operators, log);
+        common.listen = settings.adminListen;
+        common.connectionLimit = OperatorConnections;
+        operatorListener.emplace(common, operators, log);
     }
 
     std::int64_t connections(request_origin origin) const
     {
-        if (origin == request_origin::operators) {
-            return operatorListener ? operatorListener->connections() : 0;
-        }
-        return callerListener.connections();
+        const auto &listener = origin == request_origin::operators ? operatorListener : callerListener;
+        return listener ? listener->connections() : 0;
     }
 
     // Duty of the reply thread.
@@ -98,7 +105,7 @@
     caller_api callers;
     operator_api operators;
     reply_writer writer;
-    http_listener callerListener;
+    std::optional<http_listener> callerListener;
     std::optional<http_listener> operatorListener;
     std::optional<duty_thread> replyThread;
 };
@@ -117,7 +124,7 @@
 
 std::string front_end::callerAddress() const
 {
-    return d->callerListener.address();
+    return d->callerListener->address();
 }
 
 std::string front_end::operatorAddress() const
@@ -133,13 +140,13 @@
 // The reply thread ends before the listeners stop, because the library allows no suspended connection at its end.
 void front_end::stop()
 {
-    d->callerListener.quiesce();
+    d->callerListener->quiesce();
     if (d->operatorListener) {
         d->operatorListener->quiesce();
     }
     d->replies.close();
     d->replyThread.reset();
-    d->callerListener.stop();
+    d->callerListener->stop();
     if (d->operatorListener) {
         d->operatorListener->stop();
     }
--- a/src/http/front_end_settings.h
+++ b/src/http/front_end_settings.h
@@ -15,6 +15,7 @@
     std::string adminToken; ///< Bearer token that operators must send; empty only on a loopback address.
     std::string ticketKey; ///< Secret shared by the entries, from which the key of the ticket MAC is derived.
     std::size_t bodyLimit = 4U << 20U; ///< Bytes of one request.
+    std::size_t bufferLimit = 64U << 20U; ///< Bytes of all bodies that are being received; further requests are refused as overloaded.
     std::uint32_t taskLimit = 1000; ///< Tasks of one job at the interface; the rules of a kind may allow fewer.
     std::uint32_t ticketLimit = 1000; ///< Tickets of one request.
     std::chrono::milliseconds timeLimit = std::chrono::minutes(4); ///< Longest time limit of a job and longest wait of a query.
--- a/src/http/http_exchange.h
+++ b/src/http/http_exchange.h
@@ -18,6 +18,7 @@
     std::optional<http_response> response; ///< Set before the connection is resumed.
     std::size_t discarded = 0; ///< Bytes of an oversize body that were not kept.
     bool dispatched = false; ///< The request is complete and was handed to its handler.
+    bool peerClosed = false; ///< The client had closed the connection before the response was ready.
 };
 
 /**
--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -6,11 +6,14 @@
 #include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 #include <microhttpd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cerrno>
+#include <charconv>
 #include <cstdarg>
 #include <cstdio>
 #include <string_view>
@@ -26,6 +29,9 @@
 // resets it and the client would not see the response.
 constexpr std::size_t DiscardFactor = 4;
 
+// Memory of the library for one connection; it bounds the headers and the part of a body that is read at once.
+constexpr std::size_t ConnectionMemory = 16384;
+
 // Longest wait for clients to take the responses that are set when the listener stops.
 constexpr std::chrono::milliseconds StopGrace = std::chrono::seconds(2);
 
@@ -35,6 +41,15 @@
     return value != nullptr ? value : "";
 }
 
+// Tells whether the client has closed its side. Writing alone would not tell: the first write after that succeeds.
+bool isClosedByPeer(MHD_Connection *connection)
+{
+    const int descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    char byte = 0;
+    const ssize_t size = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 unsigned secondsOf(std::chrono::milliseconds time)
 {
     return static_cast<unsigned>(std::max<std::chrono::seconds::rep>(1, std::chrono::ceil<std::chrono::seconds>(time).count()));
@@ -67,18 +82,39 @@
         exchange->request.authorization = headerValue(connection, MHD_HTTP_HEADER_AUTHORIZATION);
         const char *wait = MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, "wait_ms");
         exchange->request.waitText = wait != nullptr ? wait : "";
-        return MHD_YES;
+        return checkLength(*exchange);
+    }
+
+    // Refuses a body that states a size above the limit. A client that asks before it sends the body, or would send more
+    // than is worth discarding, gets the response at once.
+    MHD_Result checkLength(http_exchange &exchange)
+    {
+        const std::string text = headerValue(exchange.connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
+        std::uint64_t length = 0;
+        std::from_chars(text.data(), text.data() + text.size(), length);
+        if (length <= settings.bodyLimit) {
+            return MHD_YES;
+        }
+        exchange.request.bodyRefusal = reason::tooLarge;
+        const bool asks = !headerValue(exchange.connection, MHD_HTTP_HEADER_EXPECT).empty();
+        return asks || length > settings.bodyLimit * DiscardFactor ? advance(exchange) : MHD_YES;
     }
 
     // Keeps a part of the body, or discards it if the body is above the limit.
-    MHD_Result receive(http_exchange &exchange, const char *data, std::size_t size) const
+    MHD_Result receive(http_exchange &exchange, const char *data, std::size_t size)
     {
         http_request &request = exchange.request;
-        if (!request.tooLarge && request.body.size() + size <= settings.bodyLimit) {
+        if (request.bodyRefusal == reason::none && request.body.size() + size > settings.bodyLimit) {
+            request.bodyRefusal = reason::tooLarge;
+        } else if (request.bodyRefusal == reason::none && buffered + size > settings.bufferLimit) {
+            request.bodyRefusal = reason::overloaded;
+        }
+        if (request.bodyRefusal == reason::none) {
             request.body.append(data, size);
+            buffered += size;
             return MHD_YES;
         }
-        request.tooLarge = true;
+        buffered -= request.body.size();
         std::string().swap(request.body);
         exchange.discarded += size;
         return exchange.discarded <= settings.bodyLimit * DiscardFactor ? MHD_YES : MHD_NO;
@@ -93,11 +129,14 @@
                 const absl::MutexLock lock(&mutex);
                 ++inProgress;
             }
-            if (exchange.request.tooLarge) {
-                exchange.response = handler.refuseLargeBody();
+            buffered -= exchange.request.body.size();
+            if (exchange.request.bodyRefusal != reason::none) {
+                exchange.response = handler.refuseBody(exchange.request.bodyRefusal);
             } else if (!handler.handle(exchange)) {
                 return MHD_YES; // Suspended; another thread may change the exchange from now on.
             }
+        } else {
+            exchange.peerClosed = isClosedByPeer(exchange.connection);
         }
         return exchange.response ? send(exchange) : MHD_YES;
     }
@@ -130,12 +169,14 @@
     {
         if (exchange->dispatched) {
             if (exchange->response) {
-                handler.finished(
-                    *exchange->response, delivered, std::chrono::duration_cast<std::chrono::microseconds>(mono_clock::now() - exchange->request.receivedAt));
+                const auto duration = std::chrono::duration_cast<std::chrono::microseconds>(mono_clock::now() - exchange->request.receivedAt);
+                handler.finished(*exchange->response, delivered && !exchange->peerClosed, duration);
             }
             const absl::MutexLock lock(&mutex);
             --inProgress;
             changed.SignalAll();
+        } else {
+            buffered -= exchange->request.body.size();
         }
         delete exchange;
     }
@@ -196,6 +237,7 @@
     int descriptor = -1;
     bool quiesced = false;
     std::atomic<std::int64_t> connections = 0;
+    std::size_t buffered = 0; ///< Bytes of bodies of requests that are not complete; used by the listener's thread only.
     std::string address;
 
     absl::Mutex mutex;
@@ -224,6 +266,8 @@
                                  d->descriptor,
                                  MHD_OPTION_CONNECTION_LIMIT,
                                  static_cast<unsigned>(settings.connectionLimit),
+                                 MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                                 ConnectionMemory,
                                  MHD_OPTION_CONNECTION_TIMEOUT,
                                  secondsOf(settings.idleTimeout),
                                  MHD_OPTION_NOTIFY_COMPLETED,
--- a/src/http/http_listener_settings.h
+++ b/src/http/http_listener_settings.h
@@ -12,6 +12,7 @@
 struct http_listener_settings {
     std::string listen; ///< Address as IP:PORT.
     std::size_t bodyLimit = 0; ///< Bytes of one request.
+    std::size_t bufferLimit = 0; ///< Bytes of all bodies that are being received.
     std::uint32_t connectionLimit = 0; ///< Connections at once.
     std::chrono::milliseconds idleTimeout{}; ///< A connection without traffic is closed after this time.
 };
--- a/src/http/http_request.h
+++ b/src/http/http_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "core/reason.h"
 
 #include <string>
 
@@ -14,7 +15,7 @@
     std::string waitText; ///< Value of the query argument wait_ms; empty if there is none.
     std::string authorization; ///< Value of the header of that name.
     std::string body;
-    bool tooLarge = false; ///< The body is above the limit and was discarded.
+    reason bodyRefusal = reason::none; ///< Why the body was discarded: too_large, or overloaded if no memory is left for it.
     mono_time receivedAt; ///< Time at which the headers were complete.
 };
 
--- a/src/http/operator_api.cpp
+++ b/src/http/operator_api.cpp
@@ -60,9 +60,10 @@
     return dispatchRoute<operator_api>(routes, *this, exchange);
 }
 
-http_response operator_api::refuseLargeBody()
+http_response operator_api::refuseBody(reason why)
 {
-    return encodeRefusal(reason::tooLarge, true, "the body has more than " + std::to_string(m_settings.bodyLimit) + " bytes");
+    const bool tooLarge = why == reason::tooLarge;
+    return encodeRefusal(why, true, tooLarge ? "the body has more than " + std::to_string(m_settings.bodyLimit) + " bytes" : std::string());
 }
 
 void operator_api::finished(const http_response &response, bool delivered, std::chrono::microseconds duration)
--- a/src/http/operator_api.h
+++ b/src/http/operator_api.h
@@ -26,7 +26,7 @@
     operator_api(const front_end_settings &settings, const ticket_codec &codec, event_dispatcher &dispatcher, finish_reporter &reporter);
 
     bool handle(http_exchange &exchange) override;
-    http_response refuseLargeBody() override;
+    http_response refuseBody(reason why) override;
     void finished(const http_response &response, bool delivered, std::chrono::microseconds duration) override;
 
 private:
--- a/src/http/request_handler.h
+++ b/src/http/request_handler.h
@@ -23,10 +23,11 @@
     virtual bool handle(http_exchange &exchange) = 0;
 
     /**
-     * Makes the response to a body above the limit.
+     * Makes the response to a body that was discarded.
+     * @param why too_large, or overloaded if no memory is left for it
      * @return the response
      */
-    virtual http_response refuseLargeBody() = 0;
+    virtual http_response refuseBody(reason why) = 0;
 
     /**
      * Learns that an exchange has ended.
--- a/tests/http/bad_input_test.cpp
+++ b/tests/http/bad_input_test.cpp
@@ -162,6 +162,56 @@
     BOOST_TEST(entry.eventCount() == 0);
 }
 
+// Guards against many bodies at once that use up the memory although each is within its limit.
+BOOST_AUTO_TEST_CASE(boundsTheBytesOfAllBodies)
+{
+    auto settings = scripted_entry::defaultSettings();
+    settings.bodyLimit = 1000;
+    settings.bufferLimit = 2500;
+    scripted_entry entry(echoScript(), settings);
+    const std::string head = "POST /v1/jobs HTTP/1.1\r\nHost: test\r\nContent-Length: 900\r\n\r\n";
+    const std::string part(800, ' ');
+    std::vector<std::unique_ptr<raw_connection>> connections;
+    for (int i = 0; i < 3; ++i) {
+        connections.push_back(std::make_unique<raw_connection>(entry.address()));
+        BOOST_REQUIRE(connections.back()->send(head + part));
+    }
+    // The three parts reach the listener at any time; until then the next request may still fit.
+    bool refused = false;
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!refused && std::chrono::steady_clock::now() < until) {
+        const raw_response response = request(entry.address(), "POST", "/v1/jobs", std::string(900, ' '));
+        refused = response.status == 503;
+        if (refused) {
+            BOOST_TEST(json::parse(response.body)["reason"] == "overloaded");
+            BOOST_TEST(json::parse(response.body)["not_run"] == true);
+        }
+    }
+    BOOST_TEST(refused);
+    connections.clear();
+    // The memory is free again once the connections have ended.
+    bool accepted = false;
+    while (!accepted && std::chrono::steady_clock::now() < until) {
+        accepted = request(entry.address(), "POST", "/v1/jobs", std::string(900, ' ')).status == 400;
+    }
+    BOOST_TEST(accepted);
+}
+
+// Guards against a client that sends a large body in vain because it gets its refusal too late.
+BOOST_AUTO_TEST_CASE(refusesALargeBodyBeforeItIsSent)
+{
+    scripted_entry entry(echoScript());
+    for (const std::string headers :
+         {"Content-Length: 5000000\r\nExpect: 100-continue\r\n", "Content-Length: 18446744073709551615\r\n", "Content-Length: 50000000\r\n"}) {
+        raw_connection connection(entry.address());
+        BOOST_REQUIRE(connection.send("POST /v1/jobs HTTP/1.1\r\nHost: test\r\n" + headers + "\r\n"));
+        const auto response = connection.read();
+        BOOST_REQUIRE(response.has_value());
+        BOOST_TEST((response->status == 413 || response->status == 400), headers << response->status);
+    }
+    BOOST_TEST(entry.eventCount() == 0);
+}
+
 // Guards against bytes that crash the parser or start a task. The seed is printed, so that a failure can be repeated.
 BOOST_AUTO_TEST_CASE(survivesRandomBytes)
 {
--- a/tests/http/operator_api_test.cpp
+++ b/tests/http/operator_api_test.cpp
@@ -106,6 +106,11 @@
         auto settings = scripted_entry::defaultSettings();
         settings.listen = address;
         BOOST_CHECK_THROW(front_end(settings, events, log), std::system_error);
+        settings = scripted_entry::defaultSettings();
+        settings.adminListen = address;
+        if (!address.empty()) {
+            BOOST_CHECK_THROW(front_end(settings, events, log), std::system_error);
+        }
     }
 }
 
--- a/tests/http/waiting_requests_test.cpp
+++ b/tests/http/waiting_requests_test.cpp
@@ -132,6 +132,7 @@
     BOOST_REQUIRE(response.has_value());
     BOOST_TEST(json::parse(response->body)["results"][0] == "kept");
     BOOST_TEST(entry.eventCount() >= static_cast<int>(count));
+    BOOST_TEST(reaches(entry, "teaselward_answers_dropped_total", count - 1));
     // All closed connections end once their answers came; only the one that is read stays.
     BOOST_TEST(reaches(entry, "teaselward_connections{listener=\"caller\"}", 1));
 }
