--- a/src/cli/subcommands.cpp
+++ b/src/cli/subcommands.cpp
@@ -6,6 +6,8 @@
 #include "cli/entry_command.h"
 #include "cli/local_command.h"
 #include "cli/config_command.h"
+#include "cli/load_command.h"
+#include "cli/submit_command.h"
 
 #include <array>
 
@@ -22,6 +24,8 @@
     subcommand{"check-settings", "check settings files of entries and agents", &runCheckSettings},
     subcommand{"bench", "measure the decisions in virtual time and print a signature", &runBench},
     subcommand{"config", "publish, list and check configuration files", &runConfig},
+    subcommand{"load", "send jobs at a fixed rate and print response times", &runLoad},
+    subcommand{"submit", "submit one job and print its results", &runSubmit},
 };
 
 } // namespace
--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -37,11 +37,11 @@
 
 } // namespace
 
-caller_api::caller_api(const front_end_settings &settings, const ticket_codec &codec, event_dispatcher &dispatcher, bounded_ring<http_reply> &replies)
+caller_api::caller_api(const front_end_settings &settings, const ticket_codec &codec, event_dispatcher &dispatcher, finish_reporter &reporter)
     : m_settings(settings)
     , m_codec(codec)
     , m_dispatcher(dispatcher)
-    , m_replies(replies)
+    , m_reporter(reporter)
 {
 }
 
@@ -56,15 +56,15 @@
     return dispatchRoute<caller_api>(routes, *this, exchange);
 }
 
-http_response caller_api::refuseLargeBody()
+http_response caller_api::refuseBody(reason why)
 {
-    return encodeRefusal(reason::tooLarge, true, "the body has more than " + std::to_string(m_settings.bodyLimit) + " bytes");
+    const bool tooLarge = why == reason::tooLarge;
+    return encodeRefusal(why, true, tooLarge ? "the body has more than " + std::to_string(m_settings.bodyLimit) + " bytes" : std::string());
 }
 
 void caller_api::finished(const http_response &response, bool delivered, std::chrono::microseconds duration)
 {
-    // A full ring loses the observation only; the listener's thread must not block.
-    m_replies.tryPush(request_finished{request_origin::caller, response.why, delivered, duration});
+    m_reporter.report(response, delivered, duration);
 }
 
 bool caller_api::issueTickets(http_exchange &exchange, std::string_view /*argument*/)
--- a/src/http/front_end.cpp
+++ b/src/http/front_end.cpp
@@ -3,17 +3,30 @@
 #include "base/duty_thread.h"
 #include "http/caller_api.h"
 #include "http/event_dispatcher.h"
+#include "http/http_error.h"
 #include "http/http_listener.h"
+#include "http/listen_address.h"
+#include "http/operator_api.h"
 #include "http/pending_requests.h"
 #include "http/reply_writer.h"
 #include "http/ticket_codec.h"
 
+#include <cstdint>
 #include <optional>
+#include <system_error>
 #include <utility>
 
 namespace teaselward
 {
 
+namespace
+{
+
+// Operators and the balancer open few connections; the limit keeps them from using up the descriptors of the process.
+constexpr std::uint32_t OperatorConnections = 64;
+
+} // namespace
+
 namespace detail
 {
 
@@ -25,13 +38,50 @@
         , codec(settings.ticketKey)
         , replies(settings.ringCapacity)
         , callerDispatcher(request_origin::caller, callerRequests, events)
-        , callers(settings, codec, callerDispatcher, replies)
-        , writer(codec, callerRequests, operatorRequests, log)
-        , callerListener({settings.listen, settings.bodyLimit, settings.connectionLimit, settings.idleTimeout}, callers, log)
+        , operatorDispatcher(request_origin::operators, operatorRequests, events)
+        , callerReporter(request_origin::caller, replies)
+        , operatorReporter(request_origin::operators, replies)
+        , callers(settings, codec, callerDispatcher, callerReporter)
+        , operators(settings, codec, operatorDispatcher, operatorReporter)
+        , writer(
+              codec,
+              callerRequests,
+              operatorRequests,
+              [this](request_origin origin) {
+                  return connections(origin);
+              },
+              log)
+    {
+        try {
+            openListeners(log);
+            replyThread.emplace("reply", [this] {
+                writeReplies();
+            });
+        } catch (...) {
+            writer.answerRest(); // A listener may have taken requests already; its end allows no suspended connection.
+            throw;
+        }
+    }
+
+    void openListeners(decision_log &log)
+    {
+        http_listener_settings common{settings.listen, settings.bodyLimit, settings.bufferLimit, settings.connectionLimit, settings.idleTimeout};
+        callerListener.emplace(common, callers, log);
+        if (settings.adminListen.empty()) {
+            return;
+        }
+        if (settings.adminToken.empty() && !listen_address(settings.adminListen).isLoopback()) {
+            throw std::system_error(http_error::tokenMissing, settings.adminListen);
+        }
+        common.listen = settings.adminListen;
+        common.connectionLimit = OperatorConnections;
+        operatorListener.emplace(common, operators, log);
+    }
+
+    std::int64_t connections(request_origin origin) const
     {
-        replyThread.emplace("reply", [this] {
-            writeReplies();
-        });
+        const auto &listener = origin == request_origin::operators ? operatorListener : callerListener;
+        return listener ? listener->connections() : 0;
     }
 
     // Duty of the reply thread.
@@ -49,9 +99,14 @@
     pending_requests callerRequests;
     pending_requests operatorRequests;
     event_dispatcher callerDispatcher;
+    event_dispatcher operatorDispatcher;
+    finish_reporter callerReporter;
+    finish_reporter operatorReporter;
     caller_api callers;
+    operator_api operators;
     reply_writer writer;
-    http_listener callerListener;
+    std::optional<http_listener> callerListener;
+    std::optional<http_listener> operatorListener;
     std::optional<duty_thread> replyThread;
 };
 
@@ -69,7 +124,12 @@
 
 std::string front_end::callerAddress() const
 {
-    return d->callerListener.address();
+    return d->callerListener->address();
+}
+
+std::string front_end::operatorAddress() const
+{
+    return d->operatorListener ? d->operatorListener->address() : std::string();
 }
 
 bool front_end::post(entry_action reply)
@@ -80,10 +140,16 @@
 // The reply thread ends before the listeners stop, because the library allows no suspended connection at its end.
 void front_end::stop()
 {
-    d->callerListener.quiesce();
+    d->callerListener->quiesce();
+    if (d->operatorListener) {
+        d->operatorListener->quiesce();
+    }
     d->replies.close();
     d->replyThread.reset();
-    d->callerListener.stop();
+    d->callerListener->stop();
+    if (d->operatorListener) {
+        d->operatorListener->stop();
+    }
 }
 
 } // namespace teaselward
