Test the agent's ledger and decisions

Cause: the agent had only the test of the whole path. Change: one test for each failure that ledger and agent core guard against.

--- /dev/null
+++ b/tests/agent/agent_core_test.cpp
@@ -0,0 +1,346 @@
+#include "agent/agent_core.h"
+#include "log/null_log.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstddef>
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr entry_id Entry{100};
+constexpr entry_id Other{200};
+
+task_id task(std::uint32_t index, std::uint64_t sequence = 1)
+{
+    return {.ticket = {.incarnation = 100, .sequence = sequence}, .index = index};
+}
+
+task_outcome outcome(task_verdict verdict, const std::string &body = {})
+{
+    return {.verdict = verdict, .why = reason::none, .body = body, .runTime = 5ms};
+}
+
+agent_core_settings settingsWith(std::uint32_t slots, std::uint32_t maxRecords = 1000)
+{
+    agent_core_settings settings;
+    settings.self.id = {1};
+    settings.self.slots = slots;
+    settings.maxRecords = maxRecords;
+    return settings;
+}
+
+// Drives one agent core by hand; the actions of an event replace the former ones.
+struct agent_fixture {
+    explicit agent_fixture(const agent_core_settings &settings = settingsWith(8))
+        : core(settings, log)
+    {
+        join(Entry);
+    }
+
+    void handle(const agent_event &event)
+    {
+        actions.clear();
+        core.handle(event, now, actions);
+    }
+
+    void join(const entry_id &entry)
+    {
+        handle(entry_joined{.info = {.id = entry, .address = "10.0.0.1:1", .failureDomain = "a"}});
+    }
+
+    call_id start(const task_id &id, const entry_id &from = Entry)
+    {
+        start_order order;
+        order.id = id;
+        order.kind = "check";
+        order.payload = "payload";
+        order.timeLimit = 10s;
+        handle(start_received{.call = {++calls}, .from = from, .order = order});
+        return {calls};
+    }
+
+    void finish(const task_id &id, const task_outcome &outcome)
+    {
+        handle(call_finished{.id = id, .outcome = outcome});
+    }
+
+    held_task revoke(const task_id &id)
+    {
+        handle(revoke_received{.call = {++calls}, .from = Entry, .id = id});
+        return get<answer_revoke>().held;
+    }
+
+    std::vector<held_task> fence(std::uint64_t sequence = 1)
+    {
+        handle(fence_received{.call = {++calls}, .from = Other, .ticket = task(0, sequence).ticket});
+        return get<answer_fence>().held;
+    }
+
+    template<typename Action>
+    std::vector<Action> all() const
+    {
+        std::vector<Action> found;
+        for (const agent_action &action : actions) {
+            if (const Action *one = std::get_if<Action>(&action); one != nullptr) {
+                found.push_back(*one);
+            }
+        }
+        return found;
+    }
+
+    template<typename Action>
+    std::size_t count() const
+    {
+        return all<Action>().size();
+    }
+
+    template<typename Action>
+    Action get() const
+    {
+        return all<Action>().at(0);
+    }
+
+    null_log log;
+    mono_time now{1h};
+    agent_core core;
+    std::vector<agent_action> actions;
+    std::uint64_t calls = 0;
+};
+
+// Tells whether the only answer says that the task was not started, with the given reason.
+bool isRefused(const agent_fixture &agent, reason why)
+{
+    return agent.count<answer_start>() == 1 && agent.count<call_endpoint>() == 0 && agent.get<answer_start>().outcome.verdict == task_verdict::notStarted
+        && agent.get<answer_start>().outcome.why == why;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(agent_core_test)
+
+// Guards against an order that the endpoint gets incomplete, and against an outcome that goes to the wrong call.
+BOOST_AUTO_TEST_CASE(aStartCallsTheEndpointAndIsAnsweredWithItsOutcome)
+{
+    agent_fixture agent;
+    const call_id call = agent.start(task(0));
+    BOOST_TEST((agent.get<call_endpoint>().id == task(0)));
+    BOOST_TEST(agent.get<call_endpoint>().payload == "payload");
+    BOOST_TEST(agent.get<call_endpoint>().kind == "check");
+    BOOST_TEST(agent.get<call_endpoint>().timeLimit.count() == 10000);
+    BOOST_TEST(agent.count<answer_start>() == 0U);
+    agent.finish(task(0), outcome(task_verdict::succeeded, "x"));
+    BOOST_TEST((agent.get<answer_start>().call == call));
+    BOOST_TEST(agent.get<answer_start>().outcome.body == "x");
+    BOOST_TEST(agent.get<answer_start>().credits == 1);
+    BOOST_TEST(agent.count<grant_credits>() == 0U);
+    agent.finish(task(0), outcome(task_verdict::failed));
+    BOOST_TEST(agent.actions.empty());
+}
+
+// Guards against a second run of a task whose start arrives twice while it runs.
+BOOST_AUTO_TEST_CASE(aRepeatedStartOfARunningTaskWaitsForIt)
+{
+    agent_fixture agent;
+    const call_id first = agent.start(task(0));
+    const call_id second = agent.start(task(0));
+    BOOST_TEST(agent.actions.empty());
+    agent.finish(task(0), outcome(task_verdict::succeeded, "x"));
+    const auto answers = agent.all<answer_start>();
+    BOOST_REQUIRE(answers.size() == 2U);
+    BOOST_TEST((answers.at(0).call == first));
+    BOOST_TEST((answers.at(1).call == second));
+    BOOST_TEST(answers.at(1).outcome.body == "x");
+}
+
+// Guards against a second run of a task whose start arrives again after it ended, whatever its outcome.
+BOOST_AUTO_TEST_CASE(aRepeatedStartOfAFinishedTaskIsAnsweredFromTheLedger)
+{
+    for (const task_verdict verdict : {task_verdict::succeeded, task_verdict::failed, task_verdict::unknown}) {
+        agent_fixture agent;
+        agent.start(task(0));
+        agent.finish(task(0), outcome(verdict, "x"));
+        const call_id again = agent.start(task(0));
+        BOOST_TEST(agent.count<call_endpoint>() == 0U);
+        BOOST_TEST((agent.get<answer_start>().call == again));
+        BOOST_TEST((agent.get<answer_start>().outcome.verdict == verdict));
+        BOOST_TEST(agent.get<answer_start>().outcome.body == "x");
+    }
+}
+
+// Guards against a late start of a task that its home has placed elsewhere.
+BOOST_AUTO_TEST_CASE(aRevokedTaskNeverStarts)
+{
+    agent_fixture agent;
+    BOOST_TEST((agent.revoke(task(0)).state == held_state::notStarted));
+    agent.start(task(0));
+    BOOST_TEST(isRefused(agent, reason::none));
+    BOOST_TEST((agent.revoke(task(0)).state == held_state::notStarted));
+}
+
+// Guards against a revocation that denies a start.
+BOOST_AUTO_TEST_CASE(aRevocationReturnsWhatIsKnown)
+{
+    agent_fixture agent;
+    agent.start(task(0));
+    BOOST_TEST((agent.revoke(task(0)).state == held_state::running));
+    agent.finish(task(0), outcome(task_verdict::succeeded, "x"));
+    const held_task held = agent.revoke(task(0));
+    BOOST_TEST((held.state == held_state::finished));
+    BOOST_TEST(held.outcome.body == "x");
+}
+
+// Guards against a start after the endpoint refused the connection and the home has placed the task elsewhere.
+BOOST_AUTO_TEST_CASE(aCallThatWasNeverSentLeavesATombstone)
+{
+    agent_fixture agent;
+    agent.start(task(0));
+    agent.finish(task(0), outcome(task_verdict::notStarted));
+    BOOST_TEST(isRefused(agent, reason::none));
+    BOOST_TEST(agent.get<answer_start>().credits == 1);
+    agent.start(task(0));
+    BOOST_TEST(isRefused(agent, reason::none));
+    BOOST_TEST((agent.revoke(task(0)).state == held_state::notStarted));
+}
+
+// Guards against a paused home that goes on starting tasks of a ticket that another entry has answered.
+BOOST_AUTO_TEST_CASE(aFenceReturnsAllAndStopsTheTicket)
+{
+    agent_fixture agent;
+    agent.start(task(0));
+    agent.start(task(1));
+    agent.finish(task(1), outcome(task_verdict::succeeded, "x"));
+    agent.revoke(task(3));
+    BOOST_TEST(agent.fence().size() == 3U);
+    agent.start(task(2));
+    BOOST_TEST(isRefused(agent, reason::outcomeUnknown));
+    agent.start(task(3));
+    BOOST_TEST(isRefused(agent, reason::outcomeUnknown));
+    BOOST_TEST((agent.revoke(task(2)).outcome.why == reason::outcomeUnknown));
+    agent.finish(task(0), outcome(task_verdict::succeeded, "y"));
+    BOOST_TEST(agent.count<answer_start>() == 1U);
+    BOOST_TEST(agent.fence().size() == 3U);
+    agent.start(task(0, 9));
+    BOOST_TEST(agent.count<call_endpoint>() == 1U);
+}
+
+// Guards against records that are dropped early to make room for new starts.
+BOOST_AUTO_TEST_CASE(aFullLedgerRefusesNewStarts)
+{
+    agent_fixture agent(settingsWith(8, 2));
+    agent.start(task(0));
+    agent.start(task(1));
+    agent.finish(task(1), outcome(task_verdict::succeeded, "x"));
+    agent.start(task(2));
+    BOOST_TEST(isRefused(agent, reason::overloaded));
+    BOOST_TEST(agent.get<answer_start>().credits == 1);
+    agent.start(task(1));
+    BOOST_TEST(agent.get<answer_start>().outcome.body == "x");
+    agent.now += 15min;
+    agent.start(task(2));
+    BOOST_TEST(agent.count<call_endpoint>() == 1U);
+}
+
+// Guards against a late start that runs because the ledger had no room for its tombstone.
+BOOST_AUTO_TEST_CASE(withoutRoomForATombstoneTheEntryHasToAskAgain)
+{
+    agent_fixture agent(settingsWith(8, 1));
+    agent.revoke(task(0));
+    agent.revoke(task(1));
+    BOOST_TEST((agent.revoke(task(2)).state == held_state::running));
+    BOOST_TEST((agent.fence(5).at(0).state == held_state::running));
+    agent.now += 15min;
+    BOOST_TEST((agent.revoke(task(2)).state == held_state::notStarted));
+}
+
+// Guards against more calls than slots, and against a credit that an entry gets for a slot that is not free.
+BOOST_AUTO_TEST_CASE(aStartWithoutACreditIsRefused)
+{
+    agent_fixture agent(settingsWith(1));
+    agent.start(task(0));
+    agent.start(task(1));
+    BOOST_TEST(isRefused(agent, reason::overloaded));
+    BOOST_TEST(agent.get<answer_start>().credits == 0);
+    agent.finish(task(0), outcome(task_verdict::succeeded));
+    agent.start(task(1));
+    BOOST_TEST(agent.count<call_endpoint>() == 1U);
+}
+
+// Guards against credits that vanish with an answer to a lost connection.
+BOOST_AUTO_TEST_CASE(creditsDoNotTravelWithAnAnswerToALostConnection)
+{
+    agent_fixture agent(settingsWith(1));
+    agent.start(task(0));
+    agent.handle(entry_lost{.entry = Entry});
+    agent.join(Entry);
+    BOOST_TEST(agent.count<grant_credits>() == 0U);
+    agent.finish(task(0), outcome(task_verdict::succeeded));
+    BOOST_TEST(agent.get<answer_start>().credits == 0);
+    BOOST_REQUIRE(agent.count<grant_credits>() == 1U);
+    BOOST_TEST((agent.get<grant_credits>().entry == Entry));
+    BOOST_TEST(agent.get<grant_credits>().delta == 1);
+}
+
+// Guards against slots that only one entry may use.
+BOOST_AUTO_TEST_CASE(theOtherEntriesGetTheirCreditsByMessage)
+{
+    agent_fixture agent(settingsWith(2));
+    agent.start(task(0));
+    agent.start(task(1));
+    agent.join(Other);
+    agent.finish(task(0), outcome(task_verdict::succeeded));
+    BOOST_TEST(agent.get<answer_start>().credits == 0);
+    BOOST_REQUIRE(agent.count<grant_credits>() == 1U);
+    BOOST_TEST((agent.get<grant_credits>().entry == Other));
+}
+
+// Guards against a stop that cuts off running tasks, and against new work at an agent that leaves.
+BOOST_AUTO_TEST_CASE(aLeavingAgentFinishesItsTasks)
+{
+    agent_fixture agent;
+    agent.start(task(0));
+    agent.handle(agent_drain_started{.bound = 1min});
+    BOOST_TEST(agent.count<announce_leaving>() == 1U);
+    BOOST_TEST(agent.count<finish_agent_drain>() == 0U);
+    agent.start(task(1));
+    BOOST_TEST(isRefused(agent, reason::draining));
+    BOOST_TEST(agent.get<answer_start>().credits == 0);
+    BOOST_TEST((agent.revoke(task(0)).state == held_state::running));
+    BOOST_TEST(agent.fence().size() == 1U);
+    agent.start(task(0));
+    BOOST_TEST(agent.actions.empty());
+    agent.finish(task(0), outcome(task_verdict::succeeded));
+    BOOST_TEST(agent.count<answer_start>() == 2U);
+    BOOST_TEST(agent.count<finish_agent_drain>() == 1U);
+    agent.revoke(task(5));
+    BOOST_TEST(agent.count<finish_agent_drain>() == 0U);
+}
+
+// Guards against a stop that waits for ever for a hanging endpoint.
+BOOST_AUTO_TEST_CASE(aLeavingAgentStopsAtTheBound)
+{
+    agent_fixture agent;
+    agent.start(task(0));
+    agent.handle(agent_drain_started{.bound = 3s});
+    BOOST_TEST((agent.core.nextDue() == agent.now + 3s));
+    agent.now += 3s;
+    agent.handle(agent_timer_fired{});
+    BOOST_TEST(agent.count<finish_agent_drain>() == 1U);
+    agent.handle(agent_timer_fired{});
+    BOOST_TEST(agent.count<finish_agent_drain>() == 0U);
+}
+
+// Guards against an idle agent that is woken.
+BOOST_AUTO_TEST_CASE(anIdleAgentWantsNoTimer)
+{
+    agent_fixture agent;
+    BOOST_TEST((agent.core.nextDue() == mono_time::max()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
