--- /dev/null
+++ b/tests/job/fault_world.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "agent/agent_core.h"
+#include "job/entry_core.h"
+#include "log/null_log.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace teaselward
+{
+
+/**
+ * Entries, agents, endpoints and callers in virtual time, with connections that break, processes that die or pause, and
+ * endpoints that fail. It records what the endpoints ran and what the callers were told, and counts violations.
+ */
+class fault_world
+{
+public:
+    /**
+     * Creates the world.
+     * @param seed seed of everything random
+     * @param faultRate faults for each second of virtual time; zero for none
+     */
+    fault_world(std::uint32_t seed, double faultRate);
+    ~fault_world();
+
+    fault_world(const fault_world &) = delete;
+    fault_world &operator=(const fault_world &) = delete;
+
+    /**
+     * Lets callers submit jobs, resubmit them when they get no answer, and waits until nothing is in progress.
+     * @param jobs number of jobs
+     */
+    void run(int jobs);
+
+    int completeJobs = 0; ///< Jobs whose caller got a complete answer.
+    int failedJobs = 0; ///< Jobs whose caller got a failure.
+    int secondRuns = 0; ///< Tasks that an endpoint ran more than once.
+    int wrongAnswers = 0; ///< Complete answers that are not the expected ones, and failures with results.
+    int falseNotRun = 0; ///< Answers that say "not run" for a job of which a task ran.
+    int lostRequests = 0; ///< Requests to a living entry without an answer in the end.
+    int repeatedAnswers = 0; ///< Requests that were answered twice.
+    int fences = 0; ///< Fences sent, to show that recoveries took place.
+    int revocations = 0; ///< Revocations sent, to show that starts became ambiguous.
+
+private:
+    struct entry_process {
+        std::unique_ptr<entry_core> core;
+        std::uint64_t id = 0;
+        std::string address;
+        mono_time pausedUntil{};
+        std::map<std::uint64_t, std::uint64_t> peerRequests; ///< Request of a peer to the forwarded call.
+    };
+    struct agent_process {
+        std::unique_ptr<agent_core> core;
+        std::uint64_t id = 0;
+        std::string address;
+    };
+    struct link {
+        bool isUp = false;
+        std::uint64_t generation = 0; ///< Messages of an earlier one are lost.
+    };
+    struct caller_job {
+        job_request job;
+        bool hasFinalAnswer = false;
+        bool wasToldFailedNotRun = false;
+        int attempts = 0;
+    };
+    struct open_request {
+        std::size_t job = 0;
+        std::uint64_t entryId = 0;
+        bool isAnswered = false;
+    };
+    struct forwarded_call {
+        std::size_t from = 0;
+        std::uint64_t fromId = 0;
+        request_id request;
+        bool isDone = false;
+    };
+
+    void after(std::chrono::microseconds delay, std::function<void()> what);
+    std::chrono::microseconds between(std::chrono::microseconds least, std::chrono::microseconds most);
+    bool chance(double probability);
+    void startEntry(std::size_t entry);
+    void startAgent(std::size_t agent);
+    void connect(std::size_t entry, std::size_t agent);
+    void disconnect(std::size_t entry, std::size_t agent);
+    void toEntry(std::size_t entry, std::uint64_t id, const entry_event &event);
+    void toAgent(std::size_t agent, std::uint64_t id, const agent_event &event);
+    void send(std::size_t entry, std::size_t agent, std::function<void()> deliver);
+    void wakeEntry(std::size_t entry);
+    void wakeAgent(std::size_t agent);
+    void perform(std::size_t entry, const entry_action &action);
+    void perform(std::size_t agent, const agent_action &action);
+    void forward(std::size_t entry, const request_id &request, const ticket &source, std::function<entry_event(request_id)> event);
+    void answerForward(std::uint64_t call, bool reached, bool otherIncarnation, const job_answer &answer);
+    void runOnEndpoint(std::size_t agent, const call_endpoint &call);
+    void requestTicket(std::size_t job);
+    void submit(std::size_t job);
+    void answered(const reply_job &reply);
+    void inject();
+    std::size_t agentOf(const agent_id &id) const;
+
+    std::mt19937 m_random;
+    double m_faultRate;
+    null_log m_log;
+    mono_time m_now{std::chrono::hours(1)};
+    std::multimap<mono_time, std::function<void()>> m_events;
+    std::uint64_t m_ids = 1000;
+    std::vector<entry_process> m_entries;
+    std::vector<agent_process> m_agents;
+    std::map<std::pair<std::size_t, std::size_t>, link> m_links;
+    std::map<std::uint64_t, std::pair<std::size_t, std::uint64_t>> m_calls; ///< Call at an agent: entry and its incarnation.
+    std::map<std::uint64_t, ticket_id> m_fencedTickets; ///< By call.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, std::map<std::uint32_t, int>> m_runs; ///< Runs by ticket and task.
+    std::vector<caller_job> m_jobs;
+    std::map<std::uint64_t, open_request> m_requests;
+    std::map<std::uint64_t, forwarded_call> m_forwards;
+    std::map<std::uint64_t, std::size_t> m_ticketRequests;
+    bool m_isFaulty = true;
+};
+
+} // namespace teaselward
