--- a/tests/job/job_manager_test.cpp
+++ b/tests/job/job_manager_test.cpp
@@ -246,6 +246,24 @@
     BOOST_TEST(entry.actions.empty());
 }
 
+// Guards against tasks of answered jobs that fill the queue.
+BOOST_AUTO_TEST_CASE(anAnsweredJobLeavesTheQueue)
+{
+    entry_fixture entry;
+    entry.joinAgent(1, 0);
+    entry.applyRules(2, 3);
+    const ticket source = entry.issue();
+    entry.submit(entry.jobFor(source, 3));
+    entry.submit(entry.jobFor(entry.issue(), 3));
+    BOOST_TEST(is(entry.get<reply_job>().answer, job_state::refused, reason::queueFull, true));
+    entry.cancel(source);
+    entry.submit(entry.jobFor(entry.issue(), 3));
+    BOOST_TEST(entry.count<reply_job>() == 0U);
+    entry.advance(10s);
+    entry.submit(entry.jobFor(entry.issue(), 3));
+    BOOST_TEST(entry.count<reply_job>() == 0U);
+}
+
 // Guards against a cancellation that changes an answer that was given, or invents one.
 BOOST_AUTO_TEST_CASE(cancellationChangesNoAnswer)
 {
--- a/tests/job/job_table_test.cpp
+++ b/tests/job/job_table_test.cpp
@@ -35,6 +35,7 @@
 {
     job_table table(10min, 100, 1000000);
     table.add(job(1));
+    table.keys().add("team", "kind", "key", 1);
     table.settle(1, complete("x"), Start + 5min);
     BOOST_TEST(table.findRunning(1) == nullptr);
     table.expire(Start + 15min - 1ms);
@@ -44,6 +45,7 @@
     table.expire(table.nextDue());
     BOOST_TEST(table.findKept(1) == nullptr);
     BOOST_TEST(table.keptCount() == 0U);
+    BOOST_TEST(!table.keys().find("team", "kind", "key").has_value());
 }
 
 // Guards against memory that grows without bound, or that is not given back.
--- a/tests/job/request_forwarder_test.cpp
+++ b/tests/job/request_forwarder_test.cpp
@@ -97,6 +97,18 @@
     BOOST_TEST((entry.get<reply_job>().answer.state == job_state::complete));
 }
 
+// Guards against a fence because many requests fail at once when one connection breaks.
+BOOST_AUTO_TEST_CASE(manyFailuresAtOnceAreOneInterruption)
+{
+    entry_fixture entry;
+    entry.joinAgent(1);
+    for (std::uint64_t sequence = 1; sequence <= 20; ++sequence) {
+        const request_id request = entry.submit(entry.jobFor({.home = "10.0.0.2:1", .id = {.incarnation = 200, .sequence = sequence}, .issuedAt = {}}));
+        entry.handle(unreachable(request));
+        BOOST_TEST(entry.count<fence_ticket>() == 0U);
+    }
+}
+
 // Guards against a caller that waits for ever for a dead home.
 BOOST_AUTO_TEST_CASE(aHomeThatStaysOutOfReachIsGivenUp)
 {
--- a/tests/job/task_placer_test.cpp
+++ b/tests/job/task_placer_test.cpp
@@ -153,6 +153,19 @@
     BOOST_TEST(one.entry.count<start_task>() == 1U);
     one.entry.revoked(one.start, held_state::notStarted);
     BOOST_TEST(one.entry.actions.empty());
+    one.entry.succeed(one.start, "second");
+    BOOST_TEST(one.entry.get<reply_job>().answer.results.at(0) == "second");
+}
+
+// Guards against a credit that is lost when the late start is refused by the tombstone that the revocation left.
+BOOST_AUTO_TEST_CASE(aRefusedLateStartReturnsItsCredit)
+{
+    placed_task one;
+    one.entry.handle(start_unanswered{.agent = {1}, .id = one.start.order.id});
+    one.entry.revoked(one.start, held_state::notStarted);
+    BOOST_TEST(one.entry.count<start_task>() == 0U);
+    one.entry.finish(one.start, entry_fixture::outcome(task_verdict::notStarted), 1);
+    BOOST_TEST(one.entry.count<start_task>() == 1U);
 }
 
 // Guards against a second start after the ledger that knew the first one is gone.
