Make room for new jobs by dropping the oldest answers

Cause: with 100 bytes for each result, an entry keeps about 100,000 tasks in its 12 MB; a ticket's lifetime is 10 minutes, so from about 170 tasks/s on it would refuse new jobs because of old answers. Change: when the memory is full, answers older than minAnswerTime (30 s) without a client key are dropped; one bit for each such ticket refuses its resubmission as ticket_expired, which does not say 'not run'.

--- /dev/null
+++ b/src/job/dropped_tickets.cpp
@@ -0,0 +1,41 @@
+#include "job/dropped_tickets.h"
+
+namespace teaselward
+{
+
+dropped_tickets::dropped_tickets(std::chrono::milliseconds lifetime)
+    : m_lifetime(lifetime)
+{
+}
+
+void dropped_tickets::add(std::uint64_t sequence, mono_time now)
+{
+    const std::uint64_t block = sequence / BlockSize;
+    const auto [due, isNew] = m_due.insert_or_assign(block, now + m_lifetime);
+    if (isNew) {
+        m_expiries.schedule(due->second, block);
+    }
+    m_blocks[block].set(sequence % BlockSize);
+}
+
+bool dropped_tickets::contains(std::uint64_t sequence) const
+{
+    const auto found = m_blocks.find(sequence / BlockSize);
+    return found != m_blocks.end() && found->second.test(sequence % BlockSize);
+}
+
+// A block that got further tickets since it was scheduled is scheduled again for its later time.
+void dropped_tickets::expire(mono_time now)
+{
+    while (const auto block = m_expiries.takeDue(now)) {
+        const auto due = m_due.find(*block);
+        if (due->second > now) {
+            m_expiries.schedule(due->second, *block);
+        } else {
+            m_blocks.erase(*block);
+            m_due.erase(due);
+        }
+    }
+}
+
+} // namespace teaselward
--- a/src/job/entry_core_settings.h
+++ b/src/job/entry_core_settings.h
@@ -21,6 +21,7 @@
     std::uint64_t seed = 1; ///< Seed of the random numbers.
     std::uint32_t maxJobs = 64 * 1024; ///< Jobs running or kept; further ones are refused.
     std::uint64_t maxJobBytes = 12ULL * 1024 * 1024; ///< Size of all payloads and kept answers; further jobs are refused.
+    std::chrono::milliseconds minAnswerTime = std::chrono::seconds(30); ///< Time that an answer is kept even if the memory is full.
 };
 
 } // namespace teaselward
--- a/src/job/job_admission.cpp
+++ b/src/job/job_admission.cpp
@@ -8,7 +8,7 @@
 namespace teaselward
 {
 
-job_admission::job_admission(entry_context &context, const job_table &table)
+job_admission::job_admission(entry_context &context, job_table &table)
     : m_context(context)
     , m_table(table)
 {
@@ -46,7 +46,7 @@
     if (job.payloads.empty() || job.payloads.size() > rule.taskLimit || job.timeLimit.count() < 0) {
         return refusal(reason::malformed);
     }
-    if (!m_table.hasRoom()) {
+    if (!m_table.makeRoom(m_context.now)) {
         return refusal(reason::overloaded, RoomRetry);
     }
     const std::size_t slots = m_context.slots.slots(job.kind);
--- a/src/job/job_admission.h
+++ b/src/job/job_admission.h
@@ -23,7 +23,7 @@
      * @param context what the parts of the entry share
      * @param table jobs that are kept
      */
-    job_admission(entry_context &context, const job_table &table);
+    job_admission(entry_context &context, job_table &table);
 
     /**
      * Decides on a new job and counts its tasks as in progress if it is accepted.
@@ -36,7 +36,7 @@
     std::optional<job_answer> decide(const job_request &job);
 
     entry_context &m_context;
-    const job_table &m_table;
+    job_table &m_table;
 };
 
 } // namespace teaselward
--- a/src/job/job_manager.cpp
+++ b/src/job/job_manager.cpp
@@ -15,7 +15,7 @@
 job_manager::job_manager(entry_context &context, const ticket_book &tickets)
     : m_context(context)
     , m_tickets(tickets)
-    , m_table(context.settings.ticketLifetime, context.settings.maxJobs, context.settings.maxJobBytes)
+    , m_table(context.settings.ticketLifetime, context.settings.minAnswerTime, context.settings.maxJobs, context.settings.maxJobBytes)
     , m_admission(context, m_table)
     , m_waiters(context)
 {
@@ -32,8 +32,8 @@
     if (answerKnown(request, job)) {
         return;
     }
-    if (verdict != reason::none) {
-        m_context.reply(request, job.source.id, refusal(verdict));
+    if (verdict != reason::none || m_table.wasDropped(job.source.id.sequence)) {
+        m_context.reply(request, job.source.id, refusal(reason::ticketExpired));
         return;
     }
     const request_digest digest = digestOf(job);
@@ -115,13 +115,16 @@
 
 void job_manager::query(const request_id &request, const ticket &source, std::chrono::milliseconds wait)
 {
-    const reason verdict = m_tickets.check(source, m_context.now);
+    reason verdict = m_tickets.check(source, m_context.now);
+    if (verdict == reason::none) {
+        verdict = m_table.wasDropped(source.id.sequence) ? reason::ticketExpired : reason::unknownJob;
+    }
     if (const kept_job *kept = m_table.findKept(source.id.sequence); kept != nullptr) {
         m_context.reply(request, source.id, kept->answer->unpack());
     } else if (job_record *job = findRunningOrJoined(source.id.sequence); job != nullptr) {
         m_waiters.add(*job, request, source.id, wait);
     } else {
-        m_context.reply(request, source.id, refusal(verdict == reason::none ? reason::unknownJob : verdict));
+        m_context.reply(request, source.id, refusal(verdict));
     }
 }
 
--- a/src/job/job_table.cpp
+++ b/src/job/job_table.cpp
@@ -1,5 +1,6 @@
 #include "job/job_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace teaselward
@@ -13,10 +14,12 @@
 
 } // namespace
 
-job_table::job_table(std::chrono::milliseconds lifetime, std::uint32_t maxJobs, std::uint64_t maxBytes)
+job_table::job_table(std::chrono::milliseconds lifetime, std::chrono::milliseconds minimum, std::uint32_t maxJobs, std::uint64_t maxBytes)
     : m_lifetime(lifetime)
+    , m_minimum(minimum)
     , m_maxJobs(maxJobs)
     , m_maxBytes(maxBytes)
+    , m_dropped(lifetime)
 {
 }
 
@@ -25,6 +28,21 @@
     return m_running.size() + m_joined.size() + m_kept.size() < m_maxJobs && m_bytes < m_maxBytes;
 }
 
+bool job_table::makeRoom(mono_time now)
+{
+    while (!hasRoom() && !m_expiries.empty() && m_expiries.front().due - m_lifetime + m_minimum <= now) {
+        m_dropped.add(m_expiries.front().sequence, now);
+        drop(m_expiries.front().sequence);
+        m_expiries.pop_front();
+    }
+    return hasRoom();
+}
+
+bool job_table::wasDropped(std::uint64_t sequence) const
+{
+    return m_dropped.contains(sequence);
+}
+
 job_record &job_table::add(std::unique_ptr<job_record> job)
 {
     m_bytes += job->bytes;
@@ -82,23 +100,42 @@
 {
     m_bytes += job.answer->size();
     m_kept[sequence] = std::move(job);
-    m_expiries.push_back({.due = now + m_lifetime, .sequence = sequence});
+    std::deque<job_expiry> &expiries = m_keys.hasKey(sequence) ? m_keyedExpiries : m_expiries;
+    expiries.push_back({.due = now + m_lifetime, .sequence = sequence});
 }
 
 void job_table::expire(mono_time now)
 {
-    while (!m_expiries.empty() && m_expiries.front().due <= now) {
-        const auto found = m_kept.find(m_expiries.front().sequence);
-        m_bytes -= found->second.answer->size();
-        m_keys.remove(found->first);
-        m_kept.erase(found);
-        m_expiries.pop_front();
+    expire(m_expiries, now);
+    expire(m_keyedExpiries, now);
+    m_dropped.expire(now);
+}
+
+// Drops the answers of one list whose time has passed.
+void job_table::expire(std::deque<job_expiry> &expiries, mono_time now)
+{
+    while (!expiries.empty() && expiries.front().due <= now) {
+        drop(expiries.front().sequence);
+        expiries.pop_front();
     }
 }
 
+// Forgets an answer and its client key.
+void job_table::drop(std::uint64_t sequence)
+{
+    const auto found = m_kept.find(sequence);
+    m_bytes -= found->second.answer->size();
+    m_kept.erase(found);
+    m_keys.remove(sequence);
+}
+
 mono_time job_table::nextDue() const
 {
-    return m_expiries.empty() ? mono_time::max() : m_expiries.front().due + ExpirySlack;
+    mono_time due = mono_time::max() - ExpirySlack;
+    for (const auto *expiries : {&m_expiries, &m_keyedExpiries}) {
+        due = expiries->empty() ? due : std::min(due, expiries->front().due);
+    }
+    return due + ExpirySlack;
 }
 
 key_index &job_table::keys()
--- a/src/job/job_table.h
+++ b/src/job/job_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "job/dropped_tickets.h"
 #include "job/job_expiry.h"
 #include "job/job_record.h"
 #include "job/joined_ticket.h"
@@ -18,21 +19,39 @@
 namespace teaselward
 {
 
-/** Jobs of the tickets that this incarnation issued: running ones, and answered ones until the lifetime has passed. */
+/**
+ * Jobs of the tickets that this incarnation issued: running ones, and answered ones until the lifetime has passed. If the
+ * memory is full, the oldest answers are dropped earlier; their tickets stay used.
+ */
 class job_table
 {
 public:
     /**
      * Creates an empty table.
      * @param lifetime time that answers are kept
+     * @param minimum time that answers are kept even if the memory is full
      * @param maxJobs number of jobs at which hasRoom() turns false
      * @param maxBytes size of payloads and answers at which hasRoom() turns false
      */
-    job_table(std::chrono::milliseconds lifetime, std::uint32_t maxJobs, std::uint64_t maxBytes);
+    job_table(std::chrono::milliseconds lifetime, std::chrono::milliseconds minimum, std::uint32_t maxJobs, std::uint64_t maxBytes);
 
     /** @return whether a further job can be kept */
     bool hasRoom() const;
 
+    /**
+     * Drops the oldest answers until there is room, but none that is younger than the minimum, and none with a client key,
+     * since another ticket with that key would start the job again.
+     * @param now present time
+     * @return whether there is room
+     */
+    bool makeRoom(mono_time now);
+
+    /**
+     * Tells whether the answer to a ticket was dropped to make room.
+     * @param sequence sequence of the ticket
+     */
+    bool wasDropped(std::uint64_t sequence) const;
+
     /**
      * Adds a running job.
      * @param job the job
@@ -98,15 +117,20 @@
 
 private:
     void keep(std::uint64_t sequence, kept_job job, mono_time now);
+    void expire(std::deque<job_expiry> &expiries, mono_time now);
+    void drop(std::uint64_t sequence);
 
     std::chrono::milliseconds m_lifetime;
+    std::chrono::milliseconds m_minimum;
     std::size_t m_maxJobs;
     std::uint64_t m_maxBytes;
     std::uint64_t m_bytes = 0;
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<job_record>> m_running;
     absl::flat_hash_map<std::uint64_t, joined_ticket> m_joined;
     absl::flat_hash_map<std::uint64_t, kept_job> m_kept;
-    std::deque<job_expiry> m_expiries; ///< Ordered by time, since every answer is kept equally long.
+    std::deque<job_expiry> m_expiries; ///< Jobs without a client key, ordered by time, since all are kept equally long.
+    std::deque<job_expiry> m_keyedExpiries; ///< Jobs with a client key, ordered by time.
+    dropped_tickets m_dropped;
     key_index m_keys;
 };
 
--- a/src/job/key_index.cpp
+++ b/src/job/key_index.cpp
@@ -35,6 +35,11 @@
     m_keys[sequence] = std::move(text);
 }
 
+bool key_index::hasKey(std::uint64_t sequence) const
+{
+    return m_keys.contains(sequence);
+}
+
 void key_index::remove(std::uint64_t sequence)
 {
     const auto found = m_keys.find(sequence);
--- a/src/job/key_index.h
+++ b/src/job/key_index.h
@@ -32,6 +32,12 @@
      */
     void add(std::string_view team, std::string_view kind, std::string_view key, std::uint64_t sequence);
 
+    /**
+     * Tells whether a job has a key.
+     * @param sequence sequence of the ticket of the job
+     */
+    bool hasKey(std::uint64_t sequence) const;
+
     /**
      * Forgets the key of a job.
      * @param sequence sequence of the ticket of the job
--- a/tests/job/job_manager_test.cpp
+++ b/tests/job/job_manager_test.cpp
@@ -366,4 +366,24 @@
     BOOST_TEST((entry.get<reply_job>().answer.state == job_state::complete));
 }
 
+// Guards against a second run of a job whose answer was dropped to make room.
+BOOST_AUTO_TEST_CASE(aTicketWhoseAnswerWasDroppedStaysUsed)
+{
+    entry_core_settings settings = entry_fixture::defaultSettings();
+    settings.maxJobs = 1;
+    entry_fixture entry(settings);
+    entry.joinAgent(1);
+    const ticket first = entry.issue();
+    entry.submit(entry.jobFor(first));
+    entry.succeed(entry.get<start_task>());
+    entry.advance(30s);
+    entry.submit(entry.jobFor(entry.issue()));
+    entry.succeed(entry.get<start_task>());
+    entry.advance(30s);
+    entry.submit(entry.jobFor(first));
+    BOOST_TEST(is(entry.get<reply_job>().answer, job_state::refused, reason::ticketExpired, false));
+    entry.query(first);
+    BOOST_TEST(is(entry.get<reply_job>().answer, job_state::refused, reason::ticketExpired, false));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/job/job_table_test.cpp
+++ b/tests/job/job_table_test.cpp
@@ -33,7 +33,7 @@
 // Guards against an answer that is dropped while its ticket could still be submitted again.
 BOOST_AUTO_TEST_CASE(anAnswerIsKeptForTheLifetimeAfterIt)
 {
-    job_table table(10min, 100, 1000000);
+    job_table table(10min, 30s, 100, 1000000);
     table.add(job(1));
     table.keys().add("team", "kind", "key", 1);
     table.settle(1, complete("x"), Start + 5min);
@@ -51,7 +51,7 @@
 // Guards against memory that grows without bound, or that is not given back.
 BOOST_AUTO_TEST_CASE(numberAndSizeOfJobsAreBounded)
 {
-    job_table few(10min, 2, 1000000);
+    job_table few(10min, 30s, 2, 1000000);
     few.add(job(1));
     BOOST_TEST(few.hasRoom());
     few.add(job(2));
@@ -61,7 +61,7 @@
     few.expire(Start + 10min);
     BOOST_TEST(few.hasRoom());
 
-    job_table small(10min, 100, 10000);
+    job_table small(10min, 30s, 100, 10000);
     small.add(job(1, 20000));
     BOOST_TEST(!small.hasRoom());
     small.settle(1, complete("x"), Start);
@@ -76,7 +76,7 @@
 // Guards against a joined ticket that starts a job of its own once the first ticket is forgotten.
 BOOST_AUTO_TEST_CASE(aJoinedTicketKeepsTheAnswerForItsOwnTime)
 {
-    job_table table(10min, 100, 1000000);
+    job_table table(10min, 30s, 100, 1000000);
     table.add(job(1));
     table.join(2, {7, 7}, 1, Start);
     BOOST_REQUIRE(table.findJoined(2) != nullptr);
@@ -95,4 +95,28 @@
     BOOST_TEST(table.hasRoom());
 }
 
+// Guards against new jobs that are refused for minutes because old answers fill the memory, and against a dropped answer
+// whose job then runs again.
+BOOST_AUTO_TEST_CASE(oldAnswersMakeRoomButStayUsed)
+{
+    job_table table(10min, 30s, 2, 1000000);
+    table.add(job(1));
+    table.keys().add("team", "kind", "key", 2);
+    table.add(job(2));
+    table.settle(2, complete("y"), Start);
+    table.settle(1, complete("x"), Start + 1s);
+    BOOST_TEST(!table.makeRoom(Start + 31s - 1ms));
+    BOOST_TEST(!table.wasDropped(1));
+    BOOST_TEST(table.makeRoom(Start + 31s));
+    BOOST_TEST(table.findKept(1) == nullptr);
+    BOOST_TEST(table.wasDropped(1));
+    BOOST_TEST(table.findKept(2) != nullptr);
+    BOOST_TEST(!table.wasDropped(2));
+    table.expire(Start + 10min);
+    BOOST_TEST(table.wasDropped(1));
+    BOOST_TEST(table.findKept(2) == nullptr);
+    table.expire(Start + 10min + 31s);
+    BOOST_TEST(!table.wasDropped(1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
