Refuse starts of entries whose connection is lost

Cause: a start may wait in the agent's ring while its connection breaks; the allocator no longer knows the entry then. Change: such a start is answered as not started and such a demand is ignored. Conclusion: no slot is taken for a session that does not exist.

--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -65,7 +65,10 @@
 void agent_core_private::onStart(const start_received &event)
 {
     const task_id &id = event.order.id;
-    grant(m_credits.setDemand(event.from, event.order.demand, m_now), nullptr);
+    const bool isConnected = m_sessions.current(event.from) != 0;
+    if (isConnected) {
+        grant(m_credits.setDemand(event.from, event.order.demand, m_now), nullptr);
+    }
     if (const ledger_record *record = m_ledger.find(id); record != nullptr) {
         answerKnownStart(event, *record);
     } else if (m_ledger.isFenced(id.ticket)) {
@@ -75,7 +78,7 @@
         refuseStart(event, reason::draining, 0);
     } else if (!m_ledger.hasRoom()) {
         refuseStart(event, reason::overloaded, UntakenCredit);
-    } else if (!m_credits.take(event.from)) {
+    } else if (!isConnected || !m_credits.take(event.from)) {
         refuseStart(event, reason::overloaded, 0);
     } else {
         m_ledger.recordStart(id);
@@ -147,7 +150,9 @@
 
 void agent_core_private::onDemand(const demand_received &event)
 {
-    grant(m_credits.setDemand(event.from, event.queued, m_now), nullptr);
+    if (m_sessions.current(event.from) != 0) {
+        grant(m_credits.setDemand(event.from, event.queued, m_now), nullptr);
+    }
 }
 
 // Records the outcome, frees the slot and answers everyone who waits. The first answer carries the credits.
--- a/tests/agent/agent_core_test.cpp
+++ b/tests/agent/agent_core_test.cpp
@@ -272,6 +272,17 @@
     BOOST_TEST(agent.count<call_endpoint>() == 1U);
 }
 
+// Guards against a start that takes a slot for an entry whose connection was lost while the start waited.
+BOOST_AUTO_TEST_CASE(aStartOfALostEntryIsRefused)
+{
+    agent_fixture agent;
+    agent.handle(entry_lost{.entry = Entry});
+    agent.start(task(0));
+    BOOST_TEST(isRefused(agent, reason::overloaded));
+    agent.handle(demand_received{.from = Entry, .queued = 5});
+    BOOST_TEST(agent.actions.empty());
+}
+
 // Guards against credits that vanish with an answer to a lost connection.
 BOOST_AUTO_TEST_CASE(creditsDoNotTravelWithAnAnswerToALostConnection)
 {
--- /dev/null
+++ b/tests/job/line_log.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "log/decision_log.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Keeps every log line. */
+class line_log : public decision_log
+{
+public:
+    bool isEnabled() const override
+    {
+        return true;
+    }
+
+    void write(log_part part, std::string_view line) override
+    {
+        lines.emplace_back(part, line);
+    }
+
+    std::vector<std::pair<log_part, std::string>> lines;
+};
+
+} // namespace teaselward
