--- a/src/place/credit_allocator.h
+++ b/src/place/credit_allocator.h
@@ -25,7 +25,8 @@
  *
  * For each start the agent calls take(), and if that fails hold(). A start that is neither taken nor held, as well as one
  * that is answered from the record, returns its credit: the answer carries one credit. After every release() and dropHeld()
- * the agent calls takeHeld() until it returns nothing.
+ * the agent calls takeHeld() until it returns nothing. Credits for a task whose session has ended, since the entry registered
+ * again, are sent to the entry as a grant.
  */
 class credit_allocator
 {
--- a/src/place/health_monitor.cpp
+++ b/src/place/health_monitor.cpp
@@ -42,7 +42,10 @@
         recordSaturation(endpoint, now);
         break;
     case task_verdict::unknown:
-        endpoint.probing = false;
+        if (endpoint.probing) {
+            endpoint.probing = false;
+            endpoint.nextProbe = now + endpoint.probeInterval;
+        }
         break;
     }
 }
--- a/src/sim/flood_case.cpp
+++ b/src/sim/flood_case.cpp
@@ -36,7 +36,7 @@
         std::array<char, 200> line{};
         std::snprintf(line.data(),
                       line.size(),
-                      "%-6s %-8s floods: %-8s goodput kept %6.3f  p99 %7.3f s -> %7.3f s = %6.2fx  refused %5.1f %%",
+                      "%-6s %-8s floods: %-8s goodput kept %6.3f  p99 %7.3f s -> %7.3f s = %5.2fx  p99/ideal %6.2f -> %6.2f  refused %5.1f %%",
                       std::string(name).c_str(),
                       std::string(Names[flooding]).c_str(),
                       std::string(Names[kind]).c_str(),
@@ -44,6 +44,8 @@
                       p99Before,
                       p99After,
                       p99After / p99Before,
+                      percentile(before.kinds[kind].ratios, 0.99),
+                      percentile(after.kinds[kind].ratios, 0.99),
                       100.0 * static_cast<double>(after.kinds[kind].refused) / static_cast<double>(std::max<std::uint64_t>(1, after.kinds[kind].offered)));
         report.line(line.data());
     }
--- a/src/sim/sim_measures.cpp
+++ b/src/sim/sim_measures.cpp
@@ -56,7 +56,8 @@
     ++kind.complete;
     const double response = seconds(answered - job.sent).count();
     kind.responses.push_back(response);
-    jobRatios.push_back(response / idealSeconds(*std::max_element(job.runTimes.begin(), job.runTimes.end())));
+    kind.ratios.push_back(response / idealSeconds(*std::max_element(job.runTimes.begin(), job.runTimes.end())));
+    jobRatios.push_back(kind.ratios.back());
 }
 
 void sim_measures::recordTask(const sim_job &job, std::size_t task, mono_time answered)
--- a/src/sim/sim_measures.h
+++ b/src/sim/sim_measures.h
@@ -19,6 +19,7 @@
     /** Result of one kind. */
     struct kind_result {
         std::vector<double> responses; ///< Of complete jobs in seconds.
+        std::vector<double> ratios; ///< Response over the ideal one, of complete jobs.
         double goodput = 0; ///< Run time of the tasks of complete jobs in seconds.
         std::uint64_t offered = 0; ///< Jobs.
         std::uint64_t complete = 0; ///< Jobs.
