Count the credit of a refused start as used and heal stranded entries

Cause: the agent core answers a refused start without a credit, so the allocator must count it as used; an entry whose only start was refused would never hear from the agent again. Grants by demand were never sent by a policy. Change: take() always uses the credit; a release sends credits to entries without credit and task; the demand is unused.

--- a/src/place/credit_account.h
+++ b/src/place/credit_account.h
@@ -10,7 +10,6 @@
     std::int32_t granted = 0; ///< Credits that the entry has not used; negative while a recall crosses a start.
     std::uint32_t running = 0;
     std::uint32_t held = 0; ///< Starts that wait for a slot at the agent.
-    std::uint32_t demand = 0; ///< Tasks that wait at the entry.
     bool connected = false;
 };
 
--- a/src/place/credit_allocator.cpp
+++ b/src/place/credit_allocator.cpp
@@ -68,6 +68,17 @@
         }
     }
 
+    // Sends credits to entries that have neither a credit nor a task here, since a start of theirs was refused.
+    void settleStranded(const entry_id &entry, std::vector<credit_grant> &grants)
+    {
+        for (member &item : members) {
+            const bool stranded = item.account.granted <= 0 && item.account.running == 0 && item.account.held == 0;
+            if (stranded && !(item.entry == entry)) {
+                settle(item.entry, item.account, grants);
+            }
+        }
+    }
+
     // Brings the credits of all entries to their targets if the policy wants it.
     void settleOthers(const entry_id &entry, std::vector<credit_grant> &grants)
     {
@@ -99,7 +110,6 @@
     d->totals.entries += account.connected ? 0 : 1;
     account.connected = true;
     account.granted = 0;
-    account.demand = 0;
     std::vector<credit_grant> grants;
     d->settle(entry, account, grants);
     d->settleOthers(entry, grants);
@@ -114,7 +124,6 @@
     }
     account->connected = false;
     account->granted = 0;
-    account->demand = 0;
     --d->totals.entries;
     d->dropUnused();
     std::vector<credit_grant> grants;
@@ -122,29 +131,20 @@
     return grants;
 }
 
-std::vector<credit_grant> credit_allocator::setDemand(const entry_id &entry, std::uint32_t queued, mono_time /*now*/)
+std::vector<credit_grant> credit_allocator::setDemand(const entry_id & /*entry*/, std::uint32_t /*queued*/, mono_time /*now*/)
 {
-    credit_account *account = d->find(entry);
-    if (account == nullptr || !account->connected || d->closed) {
-        return {};
-    }
-    account->demand = queued;
-    const std::int32_t delta = d->policy->urgentGrant(*account, d->totals);
-    if (delta == 0) {
-        return {};
-    }
-    account->granted += delta;
-    return {{entry, delta}};
+    return {};
 }
 
-// A start without a credit is accepted too if a slot is free, since a recall may have crossed it.
+// A start without a credit is accepted too if a slot is free, since a recall may have crossed it. The entry has used the credit
+// in any case, so it is counted as used even if the start is refused.
 bool credit_allocator::take(const entry_id &entry)
 {
+    credit_account &account = d->findOrAdd(entry);
+    --account.granted;
     if (d->closed || d->totals.running >= d->totals.slots) {
         return false;
     }
-    credit_account &account = d->findOrAdd(entry);
-    --account.granted;
     ++account.running;
     ++d->totals.running;
     return true;
@@ -155,9 +155,7 @@
     if (d->closed || d->totals.held >= HeldPerSlot * d->totals.slots) {
         return false;
     }
-    credit_account &account = d->findOrAdd(entry);
-    --account.granted;
-    ++account.held;
+    ++d->findOrAdd(entry).held;
     ++d->totals.held;
     return true;
 }
@@ -193,6 +191,7 @@
     --d->totals.held;
     std::vector<credit_grant> grants;
     d->settle(entry, *account, grants);
+    d->settleStranded(entry, grants);
     d->dropUnused();
     return grants;
 }
@@ -207,6 +206,7 @@
     --d->totals.running;
     std::vector<credit_grant> grants;
     d->settle(entry, *account, grants);
+    d->settleStranded(entry, grants);
     d->dropUnused();
     return grants;
 }
--- a/src/place/credit_allocator.h
+++ b/src/place/credit_allocator.h
@@ -23,10 +23,10 @@
  * decision thread is its only user. Tasks running never exceed the slots. Credits may: several entries may be told the same
  * free slot. A start that finds no free slot is held by the agent, in a queue of its own, until a task ends.
  *
- * For each start the agent calls take(), and if that fails hold(). A start that is neither taken nor held, as well as one
- * that is answered from the record, returns its credit: the answer carries one credit. After every release() and dropHeld()
- * the agent calls takeHeld() until it returns nothing. Credits for a task whose session has ended, since the entry registered
- * again, are sent to the entry as a grant.
+ * For each start the agent calls take(), and if that fails hold(). A start that is answered without take(), for example from
+ * the record, returns its credit: the answer carries one credit. After every release() and dropHeld() the agent calls
+ * takeHeld() until it returns nothing. Credits for a task whose session has ended, since the entry registered again, are sent
+ * to the entry as a grant.
  */
 class credit_allocator
 {
@@ -60,7 +60,8 @@
     std::vector<credit_grant> lose(const entry_id &entry, mono_time now);
 
     /**
-     * Records how many tasks wait at an entry. For the demand that comes with a start it is called after take() or hold().
+     * Receives the number of tasks that wait at an entry. No policy of the table uses it at present: moving credits by demand
+     * cost more messages than it saved response time.
      * @param entry the entry
      * @param queued number of tasks
      * @param now present time
@@ -71,14 +72,14 @@
     /**
      * Uses one credit of an entry for a start and gives it a slot.
      * @param entry the entry
-     * @return false if no slot is free; the credit is then not used
+     * @return false if no slot is free; the start is then held or answered as not started, without a credit
      */
     bool take(const entry_id &entry);
 
     /**
-     * Uses one credit of an entry for a start that waits at the agent until a slot is free.
+     * Holds a start for which take() found no slot, until one is free.
      * @param entry the entry
-     * @return false if too many starts wait; the credit is then not used and the start is answered as not started
+     * @return false if too many starts wait; the start is then answered as not started, without a credit
      */
     bool hold(const entry_id &entry);
 
--- a/src/place/credit_policy.h
+++ b/src/place/credit_policy.h
@@ -21,13 +21,6 @@
      */
     virtual std::int32_t target(const credit_account &entry, const credit_totals &totals) const = 0;
 
-    /**
-     * Credits to send at once in a message of their own, since the entry has tasks waiting.
-     * @param entry the entry
-     * @param totals sums over all entries
-     */
-    virtual std::int32_t urgentGrant(const credit_account &entry, const credit_totals &totals) const = 0;
-
     /** @return whether every entry is told its new target at once when an entry joins or is lost */
     virtual bool redividesOnChange() const = 0;
 };
--- a/src/place/equal_credit_policy.cpp
+++ b/src/place/equal_credit_policy.cpp
@@ -11,11 +11,6 @@
     return std::max<std::int32_t>(0, static_cast<std::int32_t>(part) - static_cast<std::int32_t>(entry.running + entry.held));
 }
 
-std::int32_t equal_credit_policy::urgentGrant(const credit_account & /*entry*/, const credit_totals & /*totals*/) const
-{
-    return 0;
-}
-
 bool equal_credit_policy::redividesOnChange() const
 {
     return true;
--- a/src/place/shared_credit_policy.cpp
+++ b/src/place/shared_credit_policy.cpp
@@ -25,11 +25,6 @@
     return std::max(told, equal - static_cast<std::int32_t>(entry.running + entry.held));
 }
 
-std::int32_t shared_credit_policy::urgentGrant(const credit_account & /*entry*/, const credit_totals & /*totals*/) const
-{
-    return 0;
-}
-
 bool shared_credit_policy::redividesOnChange() const
 {
     return false;
--- a/src/place/shared_credit_policy.h
+++ b/src/place/shared_credit_policy.h
@@ -10,7 +10,6 @@
 {
 public:
     std::int32_t target(const credit_account &entry, const credit_totals &totals) const override;
-    std::int32_t urgentGrant(const credit_account &entry, const credit_totals &totals) const override;
     bool redividesOnChange() const override;
 };
 
