Let a burst of a kind pass the backlog of a flood

Cause: in floods the p99 of response/ideal of the other kinds grew to four times, since a burst was interleaved with the flood.

--- a/src/share/fair_order.cpp
+++ b/src/share/fair_order.cpp
@@ -5,13 +5,10 @@
 namespace teaselward
 {
 
-namespace
+fair_order::fair_order(double allowance)
+    : m_allowance(allowance)
 {
-
-// Weighted work that a member without work may catch up for. Zero is plain start-time fair queueing.
-constexpr double Allowance = 0;
-
-} // namespace
+}
 
 std::size_t fair_order::add(double weight)
 {
@@ -50,7 +47,7 @@
     }
     item.active = active;
     if (active) {
-        item.tag = std::max(item.tag, m_virtualTime - Allowance);
+        item.tag = std::max(item.tag, m_virtualTime - m_allowance);
         m_active.emplace(item.tag, member);
     } else {
         m_active.erase({item.tag, member});
--- a/src/share/fair_order.h
+++ b/src/share/fair_order.h
@@ -18,6 +18,12 @@
     /** Tag and number of a member that has work. */
     using item = std::pair<double, std::size_t>;
 
+    /**
+     * Creates an order without members.
+     * @param allowance weighted work that a member may catch up for after a time without work
+     */
+    explicit fair_order(double allowance = 0);
+
     /**
      * Adds a member without work.
      * @param weight share relative to the others, above zero
@@ -76,6 +82,7 @@
     std::vector<state> m_members;
     std::vector<std::size_t> m_unused;
     std::set<item> m_active;
+    double m_allowance;
     double m_virtualTime = 0; ///< Tag of the latest task that started.
 };
 
--- a/src/share/task_queue_private.h
+++ b/src/share/task_queue_private.h
@@ -23,6 +23,12 @@
 public:
     using job_position = std::list<queued_job>::iterator;
 
+    /**
+     * Seconds of slots, over the share, that a kind may catch up for. About fifty tasks of a kind with a third of the slots:
+     * a burst of a kind that does not flood passes the backlog of one that does.
+     */
+    static constexpr double BurstAllowance = 60;
+
     /** @return number of the queue of a kind, or the number of kinds if there is none */
     std::size_t findKind(std::string_view kind) const;
 
@@ -59,7 +65,7 @@
     std::shared_ptr<const rule_set> rules = std::make_shared<rule_set>();
     std::map<std::string, std::size_t, std::less<>> kindNames;
     std::deque<kind_queue> kinds; ///< By their number in the order.
-    fair_order order; ///< Of the kinds.
+    fair_order order = fair_order(BurstAllowance); ///< Of the kinds.
     quota_ledger quotas;
     absl::flat_hash_map<ticket_id, job_position> jobs;
     std::multimap<mono_time, ticket_id> expiries;
--- a/tests/share/task_queue_test.cpp
+++ b/tests/share/task_queue_test.cpp
@@ -79,6 +79,33 @@
     BOOST_TEST(started["high"] >= 75);
 }
 
+// Guards against bursts of a kind within its share that wait for the backlog of a flood, and against a kind that may catch up
+// for any time without work and so starves the others.
+BOOST_AUTO_TEST_CASE(burstPassesAFloodButNotForever)
+{
+    rules = std::make_shared<rule_set>();
+    rules->kinds["high"] = {};
+    rules->kinds["low"] = {};
+    queue.setRules(rules);
+    submit("high", "a", 4000);
+    for (int i = 0; i < 1000; ++i) {
+        finish(*pop(), task_verdict::succeeded, milliseconds(300));
+    }
+    submit("low", "a", 1000);
+    for (int i = 0; i < 20; ++i) {
+        const auto task = pop();
+        BOOST_TEST(task->kind == "low");
+        finish(*task, task_verdict::succeeded, milliseconds(300));
+    }
+    int high = 0;
+    for (int i = 0; i < 400; ++i) {
+        const auto task = pop();
+        high += task->kind == "high" ? 1 : 0;
+        finish(*task, task_verdict::succeeded, milliseconds(300));
+    }
+    BOOST_TEST(high >= 140); // Half of the tasks after the allowance of 100.
+}
+
 // Guards against a kind with long tasks that takes more slot time than its share: cost is the measured run time.
 BOOST_AUTO_TEST_CASE(sharesFollowMeasuredRunTimes)
 {
