--- a/src/cli/subcommands.cpp
+++ b/src/cli/subcommands.cpp
@@ -3,10 +3,10 @@
 #include "cli/agent_command.h"
 #include "cli/bench_command.h"
 #include "cli/check_settings_command.h"
-#include "cli/entry_command.h"
-#include "cli/local_command.h"
 #include "cli/config_command.h"
+#include "cli/entry_command.h"
 #include "cli/load_command.h"
+#include "cli/local_command.h"
 #include "cli/submit_command.h"
 
 #include <array>
--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -97,7 +97,7 @@
     , publisher(events, clock == nullptr ? MachineClock : *clock, lines)
     , schedule(options.retention, seed)
     , random(static_cast<std::minstd_rand::result_type>(seed))
-    , delays(std::max<std::chrono::milliseconds>(options.retryLimit / FirstDelayDivisor, std::chrono::milliseconds(1)), options.retryLimit)
+    , delays(options.retryLimit / FirstDelayDivisor, options.retryLimit)
 {
 }
 
--- a/src/config/config_publisher.cpp
+++ b/src/config/config_publisher.cpp
@@ -1,11 +1,11 @@
 #include "config/config_publisher.h"
 
+#include "base/backoff.h"
 #include "base/clock.h"
 #include "config/config_error.h"
 #include "config/config_merge.h"
 #include "config/config_reader.h"
 #include "config/record_codec.h"
-#include "platform/jittered_backoff.h"
 #include "platform/platform_error.h"
 
 #include <sodium.h>
@@ -56,6 +56,9 @@
 
 } // namespace
 
+// The first delay after a failure, as a part of the longest one.
+constexpr int FirstDelayDivisor = 20;
+
 class config_publisher_private
 {
 public:
@@ -63,14 +66,16 @@
         : settings(std::move(options))
         , platform(log)
         , reader(log, settings.stream)
-        , backoff(settings.retryLimit, std::random_device{}())
+        , random(std::random_device{}())
+        , delays(settings.retryLimit / FirstDelayDivisor, settings.retryLimit)
     {
     }
 
     const config_publisher_settings settings;
     platform_log &platform;
     config_reader reader;
-    jittered_backoff backoff;
+    std::minstd_rand random;
+    backoff delays;
 
     bool waitForRetry(mono_time until);
     publish_result append(const change_record &change);
@@ -80,7 +85,7 @@
 // Sleeps before the next attempt. Returns false if the time for attempts is over.
 bool config_publisher_private::waitForRetry(mono_time until)
 {
-    const auto delay = backoff.next();
+    const auto delay = delays.next(random);
     if (mono_clock::now() + delay >= until) {
         return false;
     }
@@ -104,7 +109,7 @@
     const mono_time until = mono_clock::now() + settings.timeout;
     bool isAppended = false;
     bool isMaybeAppended = false;
-    backoff.reset();
+    delays.reset();
     do {
         if (!isAppended) {
             std::uint64_t offset = 0;
@@ -151,7 +156,7 @@
 {
     const mono_time until = mono_clock::now() + d->settings.timeout;
     std::vector<read_step> steps;
-    d->backoff.reset();
+    d->delays.reset();
     do {
         const std::error_code error = d->reader.poll(std::chrono::milliseconds(0), steps);
         if (error == config_error::logRejected || (error && !d->waitForRetry(until))) {
