--- a/src/cli/config_command_sync.cpp
+++ b/src/cli/config_command_sync.cpp
@@ -85,6 +85,17 @@
     return config_command_exit::done;
 }
 
+// Forgets the states of files that the log has lost rather than an operator removed, so that they are published again and not
+// removed from the folder too. A log that has not reached the version of a file was set up anew.
+void forgetLostFiles(folder_sync &sync)
+{
+    const config_fold &fold = sync.publisher.fold();
+    const bool hasGap = sync.publisher.hasGap();
+    std::erase_if(sync.state, [&](const auto &entry) {
+        return !fold.files().contains(entry.first) && (hasGap || fold.offset() < entry.second.version);
+    });
+}
+
 // Does what the plan says. The file on the log is copied, since publishing changes the folded files.
 config_command_exit syncFile(folder_sync &sync, const std::string &name)
 {
@@ -158,6 +169,7 @@
     if (!readSync(sync)) {
         return config_command_exit::failed;
     }
+    forgetLostFiles(sync);
     std::set<std::string> names;
     for (const auto &[name, text] : sync.texts) {
         names.insert(name);
--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -59,6 +59,7 @@
     jittered_backoff backoff;
     bool isDown = false;
     bool wasCurrent = false;
+    bool isLogBehind = false; // Reported already.
 
     mutable absl::Mutex mutex;
     absl::CondVar wake;
@@ -154,15 +155,21 @@
         schedule.setOldestNeeded(reader.oldestNeeded(), !isStart, now);
     }
     schedule.setRetained(reader.firstRetained(), reader.nextOffset(), now);
+    const bool isBehind = reader.nextOffset() <= reader.fold().offset();
+    if (isBehind && !isLogBehind) {
+        write("the log ends below the offset in force=" + std::to_string(reader.fold().offset()) + "; changes have no effect until it is passed");
+    }
+    isLogBehind = isBehind;
 }
 
-// Keeps what is in force, or takes a peer's copy if there is nothing yet. The time that the failed read took counts as waited.
+// Keeps what is in force unless a peer has a newer copy, which it has if only this process cannot reach the log. The time that
+// the failed read took counts as waited.
 void config_follower_private::handleOutage(std::error_code error, mono_time begun)
 {
     if (!std::exchange(isDown, true)) {
         write("platform log does not answer: " + error.message());
     }
-    if (!reader.hasState() && reader.adoptFromPeers()) {
+    if (reader.adoptFromPeers()) {
         write("configuration taken from a peer offset=" + std::to_string(reader.fold().offset()));
         bringIntoForce();
     }
--- a/src/config/config_reader.cpp
+++ b/src/config/config_reader.cpp
@@ -31,13 +31,13 @@
 
     config_fold fold;
     bool isCurrent = false; // The end of the stream has been reached since the last gap.
-    bool hasState = false;
     bool hasGap = false;
     std::uint64_t readNext = 1; // Offset of the next read.
     std::uint64_t first = 0;
     std::uint64_t next = 0;
     std::uint64_t firstChange = 0; // Oldest change that was read.
     bool startsMidway = false; // Older records that were not read may be needed too.
+    std::uint64_t lastChange = 0; // Newest change that was read.
     std::uint64_t snapshotOffset = 0; // Record of the snapshot that covers most.
     std::uint64_t snapshotCovers = 0;
 
@@ -85,6 +85,7 @@
     if (firstChange == 0) {
         firstChange = offset;
     }
+    lastChange = offset;
     if (!isCurrent) {
         if (!best || offset > best->covers) {
             collected.emplace_back(offset, std::move(change));
@@ -95,10 +96,11 @@
     steps.push_back({.offset = offset, .change = std::move(change), .result = std::move(result)});
 }
 
-// A reader that is current is ahead of every snapshot, and only notes where a new reader will find it.
+// A reader that is current is ahead of every snapshot, and only notes where a new reader will find it. A snapshot that was
+// overtaken by a change does not count, since the change is older than its record and will be dropped before.
 void config_reader_private::takeSnapshot(std::uint64_t offset, snapshot_record snapshot)
 {
-    if (snapshot.covers >= offset || snapshot.covers < snapshotCovers) {
+    if (snapshot.covers >= offset || snapshot.covers < snapshotCovers || (isCurrent && snapshot.covers < lastChange)) {
         return;
     }
     snapshotOffset = offset;
@@ -113,13 +115,12 @@
 
 bool config_reader_private::adoptFromPeers()
 {
-    const auto copy = peers == nullptr ? std::nullopt : peers->newest();
+    const auto copy = peers == nullptr ? std::nullopt : peers->newest(fold.offset());
     const auto record = copy ? decodeRecord(copy->text) : std::nullopt;
     const auto *snapshot = record ? std::get_if<snapshot_record>(&*record) : nullptr;
     if (snapshot == nullptr || snapshot->covers != copy->offset || !fold.adopt(*snapshot)) {
         return false;
     }
-    hasState = true;
     return true;
 }
 
@@ -137,7 +138,6 @@
     }
     hasGap = !reaches();
     isCurrent = true;
-    hasState = true;
     best.reset();
     for (auto &[offset, change] : std::exchange(collected, {})) {
         fold_result result = fold.apply(offset, change);
@@ -193,11 +193,6 @@
     return true;
 }
 
-bool config_reader::hasState() const
-{
-    return d->hasState;
-}
-
 bool config_reader::isCurrent() const
 {
     return d->isCurrent;
--- a/src/config/config_reader.h
+++ b/src/config/config_reader.h
@@ -48,14 +48,11 @@
     std::error_code poll(std::chrono::milliseconds wait, std::vector<read_step> &steps);
 
     /**
-     * Takes the newest copy from the peers, for a process that starts while the log is down.
+     * Takes the newest copy from the peers, for a process that cannot reach the log.
      * @return whether there was one that is newer than the state of this reader
      */
     bool adoptFromPeers();
 
-    /** @return whether there is a state to bring into force */
-    bool hasState() const;
-
     /** @return whether the reader has reached the end of the stream once; what comes later is as old as this reader's count */
     bool isCurrent() const;
 
--- a/src/config/peer_copy.h
+++ b/src/config/peer_copy.h
@@ -2,6 +2,7 @@
 
 #include "config/config_copy.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace teaselward
@@ -15,9 +16,10 @@
 
     /**
      * Asks the peers. It may block for a bounded time; the thread of the config_follower calls it.
-     * @return the copy with the highest offset, or nothing if no peer has one
+     * @param above offset that this process has; only a copy above it is of use
+     * @return the copy with the highest offset, or nothing if no peer is known to have one above
      */
-    virtual std::optional<config_copy> newest() = 0;
+    virtual std::optional<config_copy> newest(std::uint64_t above) = 0;
 };
 
 } // namespace teaselward
--- a/src/config/snapshot_schedule.cpp
+++ b/src/config/snapshot_schedule.cpp
@@ -11,8 +11,9 @@
 using namespace std::chrono_literals;
 
 constexpr int FreshDivisor = 2; // Publishes after half of the retention.
-constexpr int UnknownDivisor = 4; // Half less, since a record that was read at start may be old.
-constexpr int SpreadDivisor = 8;
+constexpr int FreshSpreadDivisor = 8;
+constexpr int UnknownDivisor = 16; // Soon, since a record that was read at start may be about to be dropped.
+constexpr int UnknownSpreadDivisor = 16;
 constexpr int NearSpreadDivisor = 64;
 constexpr std::chrono::milliseconds NearSpreadLimit = 5s;
 constexpr std::uint64_t NearDivisor = 4; // The record lies in the oldest quarter of what the log keeps.
@@ -38,7 +39,8 @@
     m_isSet = true;
     m_isNear = false;
     m_oldest = offset;
-    m_due = now + m_retention / (isFresh ? FreshDivisor : UnknownDivisor) + spread(m_retention / SpreadDivisor);
+    m_due = now + m_retention / (isFresh ? FreshDivisor : UnknownDivisor);
+    m_due += spread(m_retention / (isFresh ? FreshSpreadDivisor : UnknownSpreadDivisor));
 }
 
 // The first offset that is seen may be where the stream begins; only a move of it shows that the log drops records.
--- a/src/config/snapshot_schedule.h
+++ b/src/config/snapshot_schedule.h
@@ -26,7 +26,7 @@
     /**
      * Tells which record a new reader needs first; it starts the count when that changes.
      * @param offset offset of the record
-     * @param isFresh whether the record was read as it came; otherwise its age is unknown and a quarter of the retention is assumed
+     * @param isFresh whether the record was read as it came; otherwise its age is unknown and the snapshot is due soon
      * @param now present time
      */
     void setOldestNeeded(std::uint64_t offset, bool isFresh, mono_time now);
--- a/tests/config/config_command_test.cpp
+++ b/tests/config/config_command_test.cpp
@@ -159,4 +159,21 @@
     BOOST_TEST(runCommand({"sync", bob.path(), log}).out.empty());
 }
 
+// Guards against a log that has lost its records and makes the operators' folders empty too.
+BOOST_AUTO_TEST_CASE(syncPublishesAgainWhatTheLogHasLost)
+{
+    const temporary_folder folder;
+    folder.file("a.ini", "[kind x]\n");
+    folder.file("b.ini", "[kind y]\n");
+    {
+        log_server server;
+        BOOST_TEST(runCommand({"sync", folder.path(), "--log=" + server.url()}).status == 0);
+        server.log().dropBelow("teaselward-config", 2);
+        BOOST_TEST(runCommand({"sync", folder.path(), "--log=" + server.url()}).out == "a.ini: accepted, version 3\n");
+    }
+    const log_server fresh;
+    BOOST_TEST(runCommand({"sync", folder.path(), "--log=" + fresh.url()}).out == "a.ini: accepted, version 1\nb.ini: accepted, version 2\n");
+    BOOST_TEST(folder.text("b.ini") == "[kind y]\n");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
