Check that no append id is accepted twice

Cause: the property test compared readers with each other, so a fold that accepts repeated ids everywhere passed it.

Change: each reader of the test watches the ids that it accepts.

Conclusion: lost answers and duplicates are covered in random histories.

--- a/src/config/config_print.cpp
+++ b/src/config/config_print.cpp
@@ -176,16 +176,16 @@
     std::vector<std::string> lines;
     for (const auto &[name, kind] : model.kinds) {
         if (kind.service && !model.services.contains(*kind.service)) {
-            lines.push_back("kind " + name + ": there is no service " + *kind.service + "; the defaults apply");
+            lines.push_back(absl::StrCat("kind ", name, ": there is no service ", *kind.service, "; the defaults apply"));
         }
     }
     for (const auto &[name, peak] : model.peaks) {
         if (peak.zone && !model.zones.contains(*peak.zone)) {
-            lines.push_back("peak " + name + ": there is no zone " + *peak.zone + "; the peak is never in force");
+            lines.push_back(absl::StrCat("peak ", name, ": there is no zone ", *peak.zone, "; the peak is never in force"));
         }
         for (const std::string &kind : peak.kinds.value_or(std::vector<std::string>{})) {
             if (kind != "*" && !model.kinds.contains(kind)) {
-                lines.push_back("peak " + name + ": there is no kind " + kind + "; it is left out");
+                lines.push_back(absl::StrCat("peak ", name, ": there is no kind ", kind, "; it is left out"));
             }
         }
     }
--- a/tests/config/config_command_test.cpp
+++ b/tests/config/config_command_test.cpp
@@ -65,6 +65,7 @@
 {
     words.insert(words.begin(), "config");
     std::vector<char *> argv;
+    argv.reserve(words.size() + 1);
     for (std::string &word : words) {
         argv.push_back(word.data());
     }
--- a/tests/config/config_property_test.cpp
+++ b/tests/config/config_property_test.cpp
@@ -12,6 +12,8 @@
 #include <cstdlib>
 #include <memory>
 #include <random>
+#include <set>
+#include <string>
 
 using namespace teaselward;
 using namespace std::chrono_literals;
@@ -22,7 +24,7 @@
 constexpr int Rounds = 60;
 constexpr int Steps = 120;
 
-// Reader that watches that it never goes back.
+// Reader that watches that it never goes back and accepts no append id twice.
 struct watched_reader {
     explicit watched_reader(platform_log &log)
         : reader(log, TestStream)
@@ -31,6 +33,7 @@
 
     config_reader reader;
     std::uint64_t offset = 0;
+    std::set<std::string> accepted;
 
     void poll(int pages)
     {
@@ -40,6 +43,9 @@
             BOOST_REQUIRE(reader.fold().offset() >= offset);
             offset = reader.fold().offset();
         }
+        for (const read_step &step : steps) {
+            BOOST_REQUIRE((step.result.outcome != fold_outcome::accepted || accepted.insert(step.change.appendId).second));
+        }
     }
 
     void finish()
