--- a/src/cli/flag_set.cpp
+++ b/src/cli/flag_set.cpp
@@ -39,7 +39,7 @@
         }
         const std::string value = equal == std::string_view::npos ? argv[++i] : std::string(argument.substr(equal + 1));
         if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
-            return "option --" + name + " has the bad value '" + value + "'";
+            return std::string("option --").append(name).append(" has the bad value '").append(value).append("'");
         }
     }
     return {};
--- a/src/http/http_exchange.h
+++ b/src/http/http_exchange.h
@@ -3,7 +3,6 @@
 #include "http/http_request.h"
 #include "http/http_response.h"
 
-#include <cstddef>
 #include <optional>
 
 struct MHD_Connection;
@@ -16,7 +15,6 @@
     MHD_Connection *connection = nullptr;
     http_request request;
     std::optional<http_response> response; ///< Set before the connection is resumed.
-    std::size_t discarded = 0; ///< Bytes of an oversize body that were not kept.
     bool dispatched = false; ///< The request is complete and was handed to its handler.
     bool peerClosed = false; ///< The client had closed the connection before the response was ready.
 };
--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -1,19 +1,18 @@
 #include "http/http_listener.h"
 
+#include "http/body_buffer.h"
 #include "http/http_error.h"
 #include "http/listen_address.h"
+#include "http/response_sender.h"
 
 #include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 #include <microhttpd.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <atomic>
-#include <cerrno>
-#include <charconv>
 #include <cstdarg>
 #include <cstdio>
 #include <string_view>
@@ -25,10 +24,6 @@
 namespace
 {
 
-// An oversize body is read and discarded up to this multiple of the limit, because closing a connection with unread data
-// resets it and the client would not see the response.
-constexpr std::size_t DiscardFactor = 4;
-
 // Memory of the library for one connection; it bounds the headers and the part of a body that is read at once.
 constexpr std::size_t ConnectionMemory = 16384;
 
@@ -41,15 +36,7 @@
     return value != nullptr ? value : "";
 }
 
-// Tells whether the client has closed its side. Writing alone would not tell: the first write after that succeeds.
-bool isClosedByPeer(MHD_Connection *connection)
-{
-    const int descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-    char byte = 0;
-    const ssize_t size = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
+// Returns a time in the unit of the library.
 unsigned secondsOf(std::chrono::milliseconds time)
 {
     return static_cast<unsigned>(std::max<std::chrono::seconds::rep>(1, std::chrono::ceil<std::chrono::seconds>(time).count()));
@@ -67,6 +54,7 @@
         : settings(listenerSettings)
         , handler(receiver)
         , log(lines)
+        , bodies(listenerSettings.bodyLimit, listenerSettings.bufferLimit)
     {
     }
 
@@ -89,35 +77,9 @@
     // than is worth discarding, gets the response at once.
     MHD_Result checkLength(http_exchange &exchange)
     {
-        const std::string text = headerValue(exchange.connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
-        std::uint64_t length = 0;
-        std::from_chars(text.data(), text.data() + text.size(), length);
-        if (length <= settings.bodyLimit) {
-            return MHD_YES;
-        }
-        exchange.request.bodyRefusal = reason::tooLarge;
+        const bool isReadable = bodies.checkStated(exchange.request, headerValue(exchange.connection, MHD_HTTP_HEADER_CONTENT_LENGTH));
         const bool asks = !headerValue(exchange.connection, MHD_HTTP_HEADER_EXPECT).empty();
-        return asks || length > settings.bodyLimit * DiscardFactor ? advance(exchange) : MHD_YES;
-    }
-
-    // Keeps a part of the body, or discards it if the body is above the limit.
-    MHD_Result receive(http_exchange &exchange, const char *data, std::size_t size)
-    {
-        http_request &request = exchange.request;
-        if (request.bodyRefusal == reason::none && request.body.size() + size > settings.bodyLimit) {
-            request.bodyRefusal = reason::tooLarge;
-        } else if (request.bodyRefusal == reason::none && buffered + size > settings.bufferLimit) {
-            request.bodyRefusal = reason::overloaded;
-        }
-        if (request.bodyRefusal == reason::none) {
-            request.body.append(data, size);
-            buffered += size;
-            return MHD_YES;
-        }
-        buffered -= request.body.size();
-        std::string().swap(request.body);
-        exchange.discarded += size;
-        return exchange.discarded <= settings.bodyLimit * DiscardFactor ? MHD_YES : MHD_NO;
+        return !isReadable || (asks && exchange.request.bodyRefusal != reason::none) ? advance(exchange) : MHD_YES;
     }
 
     // Hands a complete request to the handler, or sends the response once it is set.
@@ -129,39 +91,16 @@
                 const absl::MutexLock lock(&mutex);
                 ++inProgress;
             }
-            buffered -= exchange.request.body.size();
+            bodies.release(exchange.request);
             if (exchange.request.bodyRefusal != reason::none) {
                 exchange.response = handler.refuseBody(exchange.request.bodyRefusal);
             } else if (!handler.handle(exchange)) {
                 return MHD_YES; // Suspended; another thread may change the exchange from now on.
             }
         } else {
-            exchange.peerClosed = isClosedByPeer(exchange.connection);
-        }
-        return exchange.response ? send(exchange) : MHD_YES;
-    }
-
-    // Queues the response with its headers.
-    static MHD_Result send(http_exchange &exchange)
-    {
-        http_response &response = *exchange.response;
-        MHD_Response *message = MHD_create_response_from_buffer(response.body.size(), response.body.data(), MHD_RESPMEM_PERSISTENT);
-        if (message == nullptr) {
-            return MHD_NO;
-        }
-        MHD_add_response_header(message, MHD_HTTP_HEADER_CONTENT_TYPE, response.contentType.c_str());
-        if (response.retryAfter.count() > 0) {
-            MHD_add_response_header(message, MHD_HTTP_HEADER_RETRY_AFTER, std::to_string(secondsOf(response.retryAfter)).c_str());
-        }
-        if (!response.allow.empty()) {
-            MHD_add_response_header(message, MHD_HTTP_HEADER_ALLOW, response.allow.c_str());
-        }
-        if (response.status == MHD_HTTP_UNAUTHORIZED) {
-            MHD_add_response_header(message, MHD_HTTP_HEADER_WWW_AUTHENTICATE, "Bearer");
+            exchange.peerClosed = isClosedByPeer(exchange);
         }
-        const MHD_Result result = MHD_queue_response(exchange.connection, response.status, message);
-        MHD_destroy_response(message);
-        return result;
+        return !exchange.response || sendResponse(exchange) ? MHD_YES : MHD_NO;
     }
 
     // Frees the record of a request after its response or the loss of its connection.
@@ -176,7 +115,7 @@
             --inProgress;
             changed.SignalAll();
         } else {
-            buffered -= exchange->request.body.size();
+            bodies.release(exchange->request);
         }
         delete exchange;
     }
@@ -198,9 +137,9 @@
         }
         auto &exchange = *static_cast<http_exchange *>(*context);
         if (*size > 0) {
-            const MHD_Result result = listener->receive(exchange, data, *size);
+            const bool goesOn = listener->bodies.receive(exchange.request, {data, *size});
             *size = 0;
-            return result;
+            return goesOn ? MHD_YES : MHD_NO;
         }
         return listener->advance(exchange);
     }
@@ -237,7 +176,7 @@
     int descriptor = -1;
     bool quiesced = false;
     std::atomic<std::int64_t> connections = 0;
-    std::size_t buffered = 0; ///< Bytes of bodies of requests that are not complete; used by the listener's thread only.
+    body_buffer bodies;
     std::string address;
 
     absl::Mutex mutex;
--- a/src/http/http_request.h
+++ b/src/http/http_request.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "core/reason.h"
 
+#include <cstddef>
 #include <string>
 
 namespace teaselward
@@ -16,6 +17,7 @@
     std::string authorization; ///< Value of the header of that name.
     std::string body;
     reason bodyRefusal = reason::none; ///< Why the body was discarded: too_large, or overloaded if no memory is left for it.
+    std::size_t discarded = 0; ///< Bytes of the body that were not kept.
     mono_time receivedAt; ///< Time at which the headers were complete.
 };
 
