Test answers through a ring of one place

Cause: the decision thread blocks while the ring of answers is full, which must not end in a deadlock. Change: 100 callers are answered in random order through a ring of capacity 1. Conclusion: a full ring of answers delays them and loses none.

--- a/tests/http/waiting_requests_test.cpp
+++ b/tests/http/waiting_requests_test.cpp
@@ -159,6 +159,25 @@
     BOOST_TEST(reaches(entry, "teaselward_answers_unmatched_total", 20));
 }
 
+// Guards against answers that are lost, or threads that wait for each other, while the ring of answers is full.
+BOOST_AUTO_TEST_CASE(aFullRingOfAnswersLosesNone)
+{
+    constexpr std::size_t count = 100;
+    auto settings = scripted_entry::defaultSettings();
+    settings.ringCapacity = 1;
+    scripted_entry entry(answersInRandomOrder(count, 3), settings);
+    std::vector<std::unique_ptr<raw_connection>> connections;
+    for (std::size_t i = 0; i < count; ++i) {
+        connections.push_back(std::make_unique<raw_connection>(entry.address()));
+        BOOST_REQUIRE(connections.back()->sendRequest("POST", "/v1/jobs", submissionBody(validTicket(i), {std::to_string(i)})));
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto response = connections[i]->read();
+        BOOST_REQUIRE(response.has_value());
+        BOOST_TEST(json::parse(response->body)["results"][0] == std::to_string(i));
+    }
+}
+
 // Guards against a stop that cuts off waiting callers or tells them "not run" although the decisions have their jobs.
 BOOST_AUTO_TEST_CASE(answersWaitingRequestsWhenItStops)
 {
