Move the count of requests in progress out of the listener

Change: progress_counter holds the count and the wait for its end. Conclusion: no change of behaviour.

--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -3,10 +3,9 @@
 #include "http/body_buffer.h"
 #include "http/http_error.h"
 #include "http/listen_address.h"
+#include "http/progress_counter.h"
 #include "http/response_sender.h"
 
-#include <absl/synchronization/mutex.h>
-#include <absl/time/time.h>
 #include <microhttpd.h>
 #include <unistd.h>
 
@@ -87,10 +86,7 @@
     {
         if (!exchange.dispatched) {
             exchange.dispatched = true;
-            {
-                const absl::MutexLock lock(&mutex);
-                ++inProgress;
-            }
+            inProgress.begin();
             bodies.release(exchange.request);
             if (exchange.request.bodyRefusal != reason::none) {
                 exchange.response = handler.refuseBody(exchange.request.bodyRefusal);
@@ -111,9 +107,7 @@
                 const auto duration = std::chrono::duration_cast<std::chrono::microseconds>(mono_clock::now() - exchange->request.receivedAt);
                 handler.finished(*exchange->response, delivered && !exchange->peerClosed, duration);
             }
-            const absl::MutexLock lock(&mutex);
-            --inProgress;
-            changed.SignalAll();
+            inProgress.end();
         } else {
             bodies.release(exchange->request);
         }
@@ -178,10 +172,7 @@
     std::atomic<std::int64_t> connections = 0;
     body_buffer bodies;
     std::string address;
-
-    absl::Mutex mutex;
-    absl::CondVar changed;
-    std::size_t inProgress ABSL_GUARDED_BY(mutex) = 0; ///< Dispatched requests without a sent response.
+    progress_counter inProgress; ///< Dispatched requests without a sent response.
 };
 
 } // namespace detail
@@ -251,13 +242,7 @@
         return;
     }
     quiesce();
-    {
-        const absl::MutexLock lock(&d->mutex);
-        const auto until = mono_clock::now() + StopGrace;
-        while (d->inProgress > 0 && mono_clock::now() < until) {
-            d->changed.WaitWithTimeout(&d->mutex, absl::FromChrono(until - mono_clock::now()));
-        }
-    }
+    d->inProgress.waitForNone(mono_clock::now() + StopGrace);
     MHD_stop_daemon(d->daemon);
     d->daemon = nullptr;
     // The library leaves the socket open after MHD_quiesce_daemon() and may use it until MHD_stop_daemon() returns.
--- /dev/null
+++ b/src/http/progress_counter.cpp
@@ -0,0 +1,33 @@
+#include "http/progress_counter.h"
+
+#include <absl/time/time.h>
+
+namespace teaselward
+{
+
+void progress_counter::begin()
+{
+    const absl::MutexLock lock(&m_mutex);
+    ++m_count;
+}
+
+void progress_counter::end()
+{
+    const absl::MutexLock lock(&m_mutex);
+    --m_count;
+    m_changed.SignalAll();
+}
+
+void progress_counter::waitForNone(mono_time until)
+{
+    const absl::MutexLock lock(&m_mutex);
+    while (m_count > 0) {
+        const auto left = until - mono_clock::now();
+        if (left <= left.zero()) {
+            return;
+        }
+        m_changed.WaitWithTimeout(&m_mutex, absl::FromChrono(left));
+    }
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/http/progress_counter.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstddef>
+
+namespace teaselward
+{
+
+/** Number of requests in progress, for whose end another thread can wait. */
+class progress_counter
+{
+public:
+    /** Counts a request. */
+    void begin();
+
+    /** Counts the end of a request. */
+    void end();
+
+    /**
+     * Waits until no request is in progress.
+     * @param until end of the wait
+     */
+    void waitForNone(mono_time until);
+
+private:
+    absl::Mutex m_mutex;
+    absl::CondVar m_changed;
+    std::size_t m_count ABSL_GUARDED_BY(m_mutex) = 0;
+};
+
+} // namespace teaselward
