--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -1,19 +1,17 @@
 #include "http/http_listener.h"
 
+#include "http/body_buffer.h"
 #include "http/http_error.h"
 #include "http/listen_address.h"
+#include "http/progress_counter.h"
+#include "http/response_sender.h"
 
-#include <absl/synchronization/mutex.h>
-#include <absl/time/time.h>
 #include <microhttpd.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <atomic>
-#include <cerrno>
-#include <charconv>
 #include <cstdarg>
 #include <cstdio>
 #include <string_view>
@@ -25,10 +23,6 @@
 namespace
 {
 
-// An oversize body is read and discarded up to this multiple of the limit, because closing a connection with unread data
-// resets it and the client would not see the response.
-constexpr std::size_t DiscardFactor = 4;
-
 // Memory of the library for one connection; it bounds the headers and the part of a body that is read at once.
 constexpr std::size_t ConnectionMemory = 16384;
 
@@ -41,15 +35,7 @@
     return value != nullptr ? value : "";
 }
 
-// Tells whether the client has closed its side. Writing alone would not tell: the first write after that succeeds.
-bool isClosedByPeer(MHD_Connection *connection)
-{
-    const int descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-    char byte = 0;
-    const ssize_t size = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
+// Returns a time in the unit of the library.
 unsigned secondsOf(std::chrono::milliseconds time)
 {
     return static_cast<unsigned>(std::max<std::chrono::seconds::rep>(1, std::chrono::ceil<std::chrono::seconds>(time).count()));
@@ -67,6 +53,7 @@
         : settings(listenerSettings)
         , handler(receiver)
         , log(lines)
+        , bodies(listenerSettings.bodyLimit, listenerSettings.bufferLimit)
     {
     }
 
@@ -89,35 +76,9 @@
     // than is worth discarding, gets the response at once.
     MHD_Result checkLength(http_exchange &exchange)
     {
-        const std::string text = headerValue(exchange.connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
-        std::uint64_t length = 0;
-        std::from_chars(text.data(), text.data() + text.size(), length);
-        if (length <= settings.bodyLimit) {
-            return MHD_YES;
-        }
-        exchange.request.bodyRefusal = reason::tooLarge;
+        const bool isReadable = bodies.checkStated(exchange.request, headerValue(exchange.connection, MHD_HTTP_HEADER_CONTENT_LENGTH));
         const bool asks = !headerValue(exchange.connection, MHD_HTTP_HEADER_EXPECT).empty();
-        return asks || length > settings.bodyLimit * DiscardFactor ? advance(exchange) : MHD_YES;
-    }
-
-    // Keeps a part of the body, or discards it if the body is above the limit.
-    MHD_Result receive(http_exchange &exchange, const char *data, std::size_t size)
-    {
-        http_request &request = exchange.request;
-        if (request.bodyRefusal == reason::none && request.body.size() + size > settings.bodyLimit) {
-            request.bodyRefusal = reason::tooLarge;
-        } else if (request.bodyRefusal == reason::none && buffered + size > settings.bufferLimit) {
-            request.bodyRefusal = reason::overloaded;
-        }
-        if (request.bodyRefusal == reason::none) {
-            request.body.append(data, size);
-            buffered += size;
-            return MHD_YES;
-        }
-        buffered -= request.body.size();
-        std::string().swap(request.body);
-        exchange.discarded += size;
-        return exchange.discarded <= settings.bodyLimit * DiscardFactor ? MHD_YES : MHD_NO;
+        return !isReadable || (asks && exchange.request.bodyRefusal != reason::none) ? advance(exchange) : MHD_YES;
     }
 
     // Hands a complete request to the handler, or sends the response once it is set.
@@ -125,43 +86,17 @@
     {
         if (!exchange.dispatched) {
             exchange.dispatched = true;
-            {
-                const absl::MutexLock lock(&mutex);
-                ++inProgress;
-            }
-            buffered -= exchange.request.body.size();
+            inProgress.begin();
+            bodies.release(exchange.request);
             if (exchange.request.bodyRefusal != reason::none) {
                 exchange.response = handler.refuseBody(exchange.request.bodyRefusal);
             } else if (!handler.handle(exchange)) {
                 return MHD_YES; // Suspended; another thread may change the exchange from now on.
             }
         } else {
-            exchange.peerClosed = isClosedByPeer(exchange.connection);
+            exchange.peerClosed = isClosedByPeer(exchange);
         }
-        return exchange.response ? send(exchange) : MHD_YES;
-    }
-
-    // Queues the response with its headers.
-    static MHD_Result send(http_exchange &exchange)
-    {
-        http_response &response = *exchange.response;
-        MHD_Response *message = MHD_create_response_from_buffer(response.body.size(), response.body.data(), MHD_RESPMEM_PERSISTENT);
-        if (message == nullptr) {
-            return MHD_NO;
-        }
-        MHD_add_response_header(message, MHD_HTTP_HEADER_CONTENT_TYPE, response.contentType.c_str());
-        if (response.retryAfter.count() > 0) {
-            MHD_add_response_header(message, MHD_HTTP_HEADER_RETRY_AFTER, std::to_string(secondsOf(response.retryAfter)).c_str());
-        }
-        if (!response.allow.empty()) {
-            MHD_add_response_header(message, MHD_HTTP_HEADER_ALLOW, response.allow.c_str());
-        }
-        if (response.status == MHD_HTTP_UNAUTHORIZED) {
-            MHD_add_response_header(message, MHD_HTTP_HEADER_WWW_AUTHENTICATE, "Bearer");
-        }
-        const MHD_Result result = MHD_queue_response(exchange.connection, response.status, message);
-        MHD_destroy_response(message);
-        return result;
+        return !exchange.response || sendResponse(exchange) ? MHD_YES : MHD_NO;
     }
 
     // Frees the record of a request after its response or the loss of its connection.
@@ -172,11 +107,9 @@
                 const auto duration = std::chrono::duration_cast<std::chrono::microseconds>(mono_clock::now() - exchange->request.receivedAt);
                 handler.finished(*exchange->response, delivered && !exchange->peerClosed, duration);
             }
-            const absl::MutexLock lock(&mutex);
-            --inProgress;
-            changed.SignalAll();
+            inProgress.end();
         } else {
-            buffered -= exchange->request.body.size();
+            bodies.release(exchange->request);
         }
         delete exchange;
     }
@@ -198,9 +131,9 @@
         }
         auto &exchange = *static_cast<http_exchange *>(*context);
         if (*size > 0) {
-            const MHD_Result result = listener->receive(exchange, data, *size);
+            const bool goesOn = listener->bodies.receive(exchange.request, {data, *size});
             *size = 0;
-            return result;
+            return goesOn ? MHD_YES : MHD_NO;
         }
         return listener->advance(exchange);
     }
@@ -237,12 +170,9 @@
     int descriptor = -1;
     bool quiesced = false;
     std::atomic<std::int64_t> connections = 0;
-    std::size_t buffered = 0; ///< Bytes of bodies of requests that are not complete; used by the listener's thread only.
+    body_buffer bodies;
     std::string address;
-
-    absl::Mutex mutex;
-    absl::CondVar changed;
-    std::size_t inProgress ABSL_GUARDED_BY(mutex) = 0; ///< Dispatched requests without a sent response.
+    progress_counter inProgress; ///< Dispatched requests without a sent response.
 };
 
 } // namespace detail
@@ -312,13 +242,7 @@
         return;
     }
     quiesce();
-    {
-        const absl::MutexLock lock(&d->mutex);
-        const auto until = mono_clock::now() + StopGrace;
-        while (d->inProgress > 0 && mono_clock::now() < until) {
-            d->changed.WaitWithTimeout(&d->mutex, absl::FromChrono(until - mono_clock::now()));
-        }
-    }
+    d->inProgress.waitForNone(mono_clock::now() + StopGrace);
     MHD_stop_daemon(d->daemon);
     d->daemon = nullptr;
     // The library leaves the socket open after MHD_quiesce_daemon() and may use it until MHD_stop_daemon() returns.
