--- a/src/rpc/entry_port.cpp
+++ b/src/rpc/entry_port.cpp
@@ -6,6 +6,7 @@
 #include "rpc/rpc_limits.h"
 #include "rpc/snapshot_codec.h"
 #include "rpc/snapshot_source.h"
+#include "rpc/text_codec.h"
 #include "rpc/ticket_codec.h"
 
 #include <kj/debug.h>
@@ -68,7 +69,7 @@
 kj::Promise<void> entry_port::query(QueryContext call)
 {
     const ticket source = decode(call.getParams().getSource());
-    const std::chrono::milliseconds wait(call.getParams().getWaitMs());
+    const auto wait = plainDuration<std::chrono::milliseconds>(call.getParams().getWaitMs());
     if (!isHomeOf(source)) {
         call.getResults().initResult().setOtherIncarnation(true);
         return kj::READY_NOW;
--- a/src/rpc/job_codec.cpp
+++ b/src/rpc/job_codec.cpp
@@ -23,7 +23,7 @@
     value.source = decode(in.getSource());
     value.team = plainText(in.getTeam());
     value.kind = plainText(in.getKind());
-    value.timeLimit = std::chrono::milliseconds(in.getTimeLimitMs());
+    value.timeLimit = plainDuration<std::chrono::milliseconds>(in.getTimeLimitMs());
     value.payloads = decodeData(in.getPayloads());
     value.key = plainText(in.getKey());
     return value;
@@ -45,7 +45,7 @@
     value.why = plainEnum(in.getWhy(), reason::unauthorized);
     value.notRun = in.getNotRun();
     value.results = decodeData(in.getResults());
-    value.retryAfter = std::chrono::milliseconds(in.getRetryAfterMs());
+    value.retryAfter = plainDuration<std::chrono::milliseconds>(in.getRetryAfterMs());
     return value;
 }
 
--- a/src/rpc/task_codec.cpp
+++ b/src/rpc/task_codec.cpp
@@ -20,7 +20,7 @@
     value.verdict = plainEnum(in.getVerdict(), task_verdict::unknown);
     value.why = plainEnum(in.getWhy(), reason::unauthorized);
     value.body = plainData(in.getBody());
-    value.runTime = std::chrono::microseconds(in.getRunTimeUs());
+    value.runTime = plainDuration<std::chrono::microseconds>(in.getRunTimeUs());
     return value;
 }
 
@@ -53,7 +53,7 @@
     value.kind = plainText(in.getKind());
     value.team = plainText(in.getTeam());
     value.payload = plainData(in.getPayload());
-    value.timeLimit = std::chrono::milliseconds(in.getTimeLimitMs());
+    value.timeLimit = plainDuration<std::chrono::milliseconds>(in.getTimeLimitMs());
     value.demand = in.getDemand();
     return value;
 }
--- a/src/rpc/text_codec.h
+++ b/src/rpc/text_codec.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <capnp/blob.h>
+#include <chrono>
 #include <cstdint>
 #include <kj/debug.h>
 #include <string>
@@ -51,4 +53,17 @@
     return static_cast<E>(value);
 }
 
+/**
+ * Converts a count of a message to a duration.
+ * @tparam D type of the duration
+ * @param count the count in the unit of the type
+ * @return the duration, bounded so that adding it to an instant cannot overflow, whatever a peer sends
+ */
+template<typename D>
+D plainDuration(std::int64_t count)
+{
+    constexpr D longest = std::chrono::hours(24 * 365);
+    return std::clamp(D(count), D::zero(), longest);
+}
+
 } // namespace teaselward
--- a/src/rpc/ticket_codec.cpp
+++ b/src/rpc/ticket_codec.cpp
@@ -25,7 +25,7 @@
 
 ticket decode(wire::Ticket::Reader in)
 {
-    return {plainText(in.getHome()), decode(in.getId()), std::chrono::milliseconds(in.getIssuedAtMs())};
+    return {plainText(in.getHome()), decode(in.getId()), plainDuration<std::chrono::milliseconds>(in.getIssuedAtMs())};
 }
 
 void encode(const task_id &value, wire::TaskId::Builder out)
--- a/src/rpc/welcome_codec.cpp
+++ b/src/rpc/welcome_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "rpc/info_codec.h"
 #include "rpc/list_codec.h"
+#include "rpc/text_codec.h"
 
 namespace teaselward
 {
@@ -22,7 +23,7 @@
     value.accepted = in.getAccepted();
     value.version = in.getVersion();
     value.self = decode(in.getSelf());
-    value.lease = std::chrono::milliseconds(in.getLeaseMs());
+    value.lease = plainDuration<std::chrono::milliseconds>(in.getLeaseMs());
     value.entries = decodeTexts(in.getEntries());
     value.configOffset = in.getConfigOffset();
     return value;
--- /dev/null
+++ b/tests/rpc/codec_test.cpp
@@ -0,0 +1,96 @@
+#include "rpc/info_codec.h"
+#include "rpc/job_codec.h"
+#include "rpc/task_codec.h"
+#include "rpc/text_codec.h"
+#include "rpc/ticket_codec.h"
+
+#include <boost/test/unit_test.hpp>
+#include <capnp/message.h>
+
+#include <chrono>
+#include <cstdint>
+#include <limits>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(codec_test)
+
+// Guards against a reason or a verdict that changes on its way, for example after one was added in the middle.
+BOOST_AUTO_TEST_CASE(keepsEveryReasonAndVerdict)
+{
+    for (int why = 0; why <= static_cast<int>(reason::unauthorized); ++why) {
+        for (int verdict = 0; verdict <= static_cast<int>(task_verdict::unknown); ++verdict) {
+            const task_outcome outcome{static_cast<task_verdict>(verdict), static_cast<reason>(why), "body", 5us};
+            capnp::MallocMessageBuilder message;
+            auto wire = message.initRoot<wire::TaskOutcome>();
+            encode(outcome, wire);
+            const task_outcome read = decode(wire.asReader());
+            BOOST_TEST((read.verdict == outcome.verdict));
+            BOOST_TEST((read.why == outcome.why));
+        }
+    }
+}
+
+// Guards against a number outside an enumeration that reaches the decisions.
+BOOST_AUTO_TEST_CASE(refusesUnknownEnumerators)
+{
+    capnp::MallocMessageBuilder message;
+    auto outcome = message.initRoot<wire::TaskOutcome>();
+    outcome.setVerdict(static_cast<std::uint8_t>(task_verdict::unknown) + 1);
+    BOOST_CHECK_THROW(decode(outcome.asReader()), kj::Exception);
+    outcome.setVerdict(0);
+    outcome.setWhy(255);
+    BOOST_CHECK_THROW(decode(outcome.asReader()), kj::Exception);
+    capnp::MallocMessageBuilder other;
+    auto answer = other.initRoot<wire::JobAnswer>();
+    answer.setState(static_cast<std::uint8_t>(job_state::failed) + 1);
+    BOOST_CHECK_THROW(decode(answer.asReader()), kj::Exception);
+}
+
+// Guards against a time of a peer that overflows when it is added to an instant.
+BOOST_AUTO_TEST_CASE(boundsTimes)
+{
+    BOOST_TEST((plainDuration<std::chrono::milliseconds>(1500) == 1500ms));
+    BOOST_TEST((plainDuration<std::chrono::milliseconds>(-1) == 0ms));
+    BOOST_TEST((plainDuration<std::chrono::milliseconds>(std::numeric_limits<std::int64_t>::max()) == std::chrono::hours(24 * 365)));
+    BOOST_TEST((plainDuration<std::chrono::microseconds>(std::numeric_limits<std::int64_t>::min()) == 0us));
+}
+
+// Guards against a job of the greatest size, an empty one or one with binary payloads that changes on its way.
+BOOST_AUTO_TEST_CASE(keepsAJob)
+{
+    job_request job{{"127.0.0.1:7000", {1, 2}, 3ms}, "team", "kind", 4s, {}, ""};
+    for (int count : {0, 1, 210}) {
+        job.payloads.assign(static_cast<std::size_t>(count), std::string("a\0\xff", 3));
+        capnp::MallocMessageBuilder message;
+        auto wire = message.initRoot<wire::JobRequest>();
+        encode(job, wire);
+        const job_request read = decode(wire.asReader());
+        BOOST_TEST((read.source == job.source));
+        BOOST_TEST(read.team == job.team);
+        BOOST_TEST(read.kind == job.kind);
+        BOOST_TEST((read.timeLimit == job.timeLimit));
+        BOOST_TEST(read.key.empty());
+        BOOST_TEST((read.payloads == job.payloads));
+    }
+}
+
+// Guards against an announcement that loses a field.
+BOOST_AUTO_TEST_CASE(keepsAnAnnouncement)
+{
+    const agent_info info{agent_id{1}, "127.0.0.1:1", "zone-b", 8, 64, {"a", "b"}, true};
+    capnp::MallocMessageBuilder message;
+    auto wire = message.initRoot<wire::AgentInfo>();
+    encode(info, wire);
+    const agent_info read = decode(wire.asReader());
+    BOOST_TEST((read.id == info.id));
+    BOOST_TEST(read.address == info.address);
+    BOOST_TEST(read.failureDomain == info.failureDomain);
+    BOOST_TEST(read.slots == info.slots);
+    BOOST_TEST(read.connections == info.connections);
+    BOOST_TEST((read.kinds == info.kinds));
+    BOOST_TEST(read.leaving);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/rpc/peer_test.cpp
+++ b/tests/rpc/peer_test.cpp
@@ -1,3 +1,4 @@
+#include "rpc/tcp_relay.h"
 #include "rpc/test_agent.h"
 #include "rpc/test_entry.h"
 
@@ -6,6 +7,7 @@
 #include <chrono>
 #include <optional>
 #include <set>
+#include <utility>
 
 using namespace teaselward;
 using namespace std::chrono_literals;
@@ -101,6 +103,41 @@
     BOOST_TEST(entry.events.count<peer_joined>() == 1U);
 }
 
+// Guards against an entry that has a session with itself through an address that it does not know as its own.
+BOOST_AUTO_TEST_CASE(isNoPeerOfItselfUnderAnotherAddress)
+{
+    std::string address;
+    {
+        const test_entry probe(10);
+        address = probe.rpc.address();
+    }
+    const tcp_relay relay(address);
+    test_entry entry(11, {relay.address()}, address);
+    test_entry other(12, {address});
+    BOOST_REQUIRE(entry.events.waitFor<peer_joined>().has_value());
+    entry.events.collect(1s);
+    BOOST_TEST(entry.events.count<peer_joined>() == 1U);
+    BOOST_TEST(entry.events.count<peer_lost>() == 0U);
+}
+
+// Guards against two sessions of an agent with one entry under two addresses that replace each other without end.
+BOOST_AUTO_TEST_CASE(settlesOnOneSessionWithAnEntryOfTwoAddresses)
+{
+    test_entry entry(11);
+    const tcp_relay relay(entry.rpc.address());
+    test_agent agent(22, {entry.rpc.address(), relay.address()});
+    BOOST_REQUIRE(entry.events.waitFor<agent_joined>().has_value());
+    // The two registrations may cross a few times; the sessions have settled once nothing changes for three seconds.
+    std::size_t before = 0;
+    std::size_t seen = entry.events.seen().size();
+    for (int round = 0; round < 10 && before != seen; ++round) {
+        entry.events.collect(3s);
+        before = std::exchange(seen, entry.events.seen().size());
+    }
+    BOOST_TEST(before == seen);
+    BOOST_TEST(entry.events.count<agent_joined>() == entry.events.count<agent_lost>() + 1);
+}
+
 // Guards against quotas that are computed from lost or mixed reports.
 BOOST_AUTO_TEST_CASE(reportsTheUseOfQuotasToEveryPeer)
 {
