--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -50,6 +50,9 @@
     m_now = now;
     m_actions = &actions;
     m_ledger.expire(now);
+    for (const held_start &start : m_held.takeExpired(now)) {
+        refuseHeld(start, reason::overloaded);
+    }
     (this->*handlers.at(event.index()))(event);
     finishDrainIfIdle();
     m_actions = nullptr;
@@ -58,7 +61,7 @@
 mono_time agent_core_private::nextDue() const
 {
     const bool awaitsBound = m_drainEnd && !m_isDrained;
-    return std::min(m_ledger.nextDue(), awaitsBound ? *m_drainEnd : mono_time::max());
+    return std::min({m_ledger.nextDue(), m_held.nextDue(), awaitsBound ? *m_drainEnd : mono_time::max()});
 }
 
 // Records the start before the endpoint is called. A task that has a record never reaches the endpoint again.
@@ -69,24 +72,81 @@
     if (isConnected) {
         grant(m_credits.setDemand(event.from, event.order.demand, m_now), nullptr);
     }
+    // A repeated start of a held task replaces the held one, else both could run.
+    refuseAllHeld(
+        [&id](const held_start &held) {
+            return held.order.id == id;
+        },
+        reason::overloaded);
+    const auto refuse = [this, &event](reason why, std::int32_t credits) {
+        refuseStart(event.call, event.from, event.order.id, why, credits);
+    };
     if (const ledger_record *record = m_ledger.find(id); record != nullptr) {
         answerKnownStart(event, *record);
     } else if (m_ledger.isFenced(id.ticket)) {
         // The entry learns from this reason that its ticket has been taken over, and gives up the job.
-        refuseStart(event, reason::outcomeUnknown, UntakenCredit);
+        refuse(reason::outcomeUnknown, UntakenCredit);
     } else if (m_drainEnd) {
-        refuseStart(event, reason::draining, 0);
+        refuse(reason::draining, 0);
     } else if (!m_ledger.hasRoom()) {
-        refuseStart(event, reason::overloaded, UntakenCredit);
-    } else if (!isConnected || !m_credits.take(event.from)) {
-        refuseStart(event, reason::overloaded, 0);
+        refuse(reason::overloaded, UntakenCredit);
+    } else if (!isConnected) {
+        refuse(reason::overloaded, 0);
+    } else if (m_credits.take(event.from)) {
+        run(event.call, event.from, event.order);
+    } else if (m_credits.hold(event.from)) {
+        m_held.add({.call = event.call, .from = event.from, .order = event.order, .since = m_now});
     } else {
-        m_ledger.recordStart(id);
-        m_running[id].push_back({.call = event.call, .from = event.from, .session = m_sessions.current(event.from)});
-        if (m_log.isEnabled()) {
-            m_log.write(log_part::agent, concat("Started a task. ", taskText(id), " kind=", event.order.kind, " entry=", event.from.value));
-        }
-        m_actions->push_back(call_endpoint{.id = id, .kind = event.order.kind, .payload = event.order.payload, .timeLimit = event.order.timeLimit});
+        refuse(reason::overloaded, 0);
+    }
+}
+
+// Records the start and calls the endpoint; a slot has been taken for it.
+void agent_core_private::run(const call_id &call, const entry_id &from, const start_order &order)
+{
+    m_ledger.recordStart(order.id);
+    m_running[order.id].push_back({.call = call, .from = from, .session = m_sessions.current(from)});
+    if (m_log.isEnabled()) {
+        m_log.write(log_part::agent, concat("Started a task. ", taskText(order.id), " kind=", order.kind, " entry=", from.value));
+    }
+    m_actions->push_back(call_endpoint{.id = order.id, .kind = order.kind, .payload = order.payload, .timeLimit = order.timeLimit});
+}
+
+// Gives free slots to held starts. The time that a start was held counts against its limit.
+void agent_core_private::runHeld()
+{
+    while (const auto entry = m_credits.takeHeld()) {
+        auto start = m_held.takeFirst([&entry](const held_start &held) {
+            return held.from == *entry;
+        });
+        start->order.timeLimit -= std::chrono::duration_cast<std::chrono::milliseconds>(m_now - start->since);
+        run(start->call, start->from, start->order);
+    }
+}
+
+// Answers a held start as not started and passes its credits on.
+void agent_core_private::refuseHeld(const held_start &start, reason why)
+{
+    const std::int32_t credits = grant(m_credits.dropHeld(start.from, m_now), &start.from);
+    refuseStart(start.call, start.from, start.order.id, why, credits);
+    runHeld();
+}
+
+void agent_core_private::refuseAllHeld(const held_starts::filter &isRefused, reason why)
+{
+    for (const held_start &start : m_held.takeAll(isRefused)) {
+        refuseHeld(start, why);
+    }
+}
+
+// Forgets the held starts of a session that has ended. The entry revokes them, and nobody waits for an answer.
+void agent_core_private::dropHeldOf(const entry_id &entry)
+{
+    const auto dropped = m_held.takeAll([&entry](const held_start &held) {
+        return held.from == entry;
+    });
+    for (const held_start &start : dropped) {
+        grant(m_credits.dropHeld(start.from, m_now), &start.from);
     }
 }
 
@@ -99,7 +159,7 @@
         return;
     }
     if (record.state == held_state::notStarted) {
-        refuseStart(event, m_ledger.isFenced(id.ticket) ? reason::outcomeUnknown : record.outcome.why, UntakenCredit);
+        refuseStart(event.call, event.from, id, m_ledger.isFenced(id.ticket) ? reason::outcomeUnknown : record.outcome.why, UntakenCredit);
         return;
     }
     if (m_log.isEnabled()) {
@@ -109,18 +169,23 @@
 }
 
 // Answers that the task was not started here.
-void agent_core_private::refuseStart(const start_received &event, reason why, std::int32_t credits)
+void agent_core_private::refuseStart(const call_id &call, const entry_id &from, const task_id &id, reason why, std::int32_t credits)
 {
     if (m_log.isEnabled()) {
-        m_log.write(log_part::agent, concat("Refused a start. ", taskText(event.order.id), " entry=", event.from.value, " reason=", reasonText(why)));
+        m_log.write(log_part::agent, concat("Refused a start. ", taskText(id), " entry=", from.value, " reason=", reasonText(why)));
     }
-    m_actions->push_back(answer_start{
-        .call = event.call, .id = event.order.id, .outcome = {.verdict = task_verdict::notStarted, .why = why, .body = {}, .runTime = {}}, .credits = credits});
+    m_actions->push_back(
+        answer_start{.call = call, .id = id, .outcome = {.verdict = task_verdict::notStarted, .why = why, .body = {}, .runTime = {}}, .credits = credits});
 }
 
 // Returns what is known about the task. A task without a record gets a tombstone first, so that a late start is refused.
 void agent_core_private::onRevoke(const revoke_received &event)
 {
+    refuseAllHeld(
+        [&event](const held_start &held) {
+            return held.order.id == event.id;
+        },
+        reason::overloaded);
     held_task held = m_ledger.held(event.id);
     if (held.state == held_state::notStarted && m_ledger.isFenced(event.id.ticket)) {
         held.outcome.why = reason::outcomeUnknown;
@@ -137,6 +202,11 @@
 
 void agent_core_private::onFence(const fence_received &event)
 {
+    refuseAllHeld(
+        [&event](const held_start &held) {
+            return held.order.id.ticket == event.ticket;
+        },
+        reason::outcomeUnknown);
     std::vector<held_task> held = m_ledger.heldOf(event.ticket);
     if (!m_ledger.fence(event.ticket, m_now)) {
         // A ticket that could not be fenced must not look complete or idle; the entry asks again.
@@ -183,18 +253,22 @@
         m_actions->push_back(answer_start{.call = one.call, .id = event.id, .outcome = event.outcome, .credits = credits});
         credits = UntakenCredit;
     }
+    runHeld();
 }
 
 void agent_core_private::onEntryJoined(const entry_joined &event)
 {
+    dropHeldOf(event.info.id);
     m_sessions.begin(event.info.id);
     grant(m_credits.join(event.info.id, m_now), nullptr);
 }
 
 void agent_core_private::onEntryLost(const entry_lost &event)
 {
+    dropHeldOf(event.entry);
     m_sessions.end(event.entry);
     grant(m_credits.lose(event.entry, m_now), nullptr);
+    runHeld();
 }
 
 void agent_core_private::onTimer(const agent_timer_fired & /*event*/)
@@ -209,6 +283,11 @@
     m_drainEnd = m_now + event.bound;
     m_credits.close();
     m_actions->push_back(announce_leaving{});
+    refuseAllHeld(
+        [](const held_start & /*held*/) {
+            return true;
+        },
+        reason::draining);
     if (m_log.isEnabled()) {
         m_log.write(log_part::agent, concat("Leaving. running=", m_running.size(), " bound_ms=", event.bound.count()));
     }
--- /dev/null
+++ b/src/agent/held_start.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/clock.h"
+#include "core/call_id.h"
+#include "core/entry_id.h"
+#include "core/start_order.h"
+
+namespace teaselward
+{
+
+/** Start that waits at its agent for a free slot. It has not started yet. */
+struct held_start {
+    call_id call;
+    entry_id from;
+    start_order order;
+    mono_time since{};
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/agent/held_starts.cpp
@@ -0,0 +1,55 @@
+#include "agent/held_starts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// A start held for longer goes back to its entry, which may know a free slot elsewhere. Shorter holds cost more messages than
+// they save time; see docs/decisions/placement.md.
+constexpr std::chrono::milliseconds LongestHold{150};
+
+} // namespace
+
+void held_starts::add(held_start start)
+{
+    m_starts.push_back(std::move(start));
+}
+
+std::optional<held_start> held_starts::takeFirst(const filter &isWanted)
+{
+    const auto found = std::ranges::find_if(m_starts, isWanted);
+    if (found == m_starts.end()) {
+        return std::nullopt;
+    }
+    std::optional<held_start> taken(std::move(*found));
+    m_starts.erase(found);
+    return taken;
+}
+
+std::vector<held_start> held_starts::takeAll(const filter &isWanted)
+{
+    std::vector<held_start> taken;
+    while (auto start = takeFirst(isWanted)) {
+        taken.push_back(std::move(*start));
+    }
+    return taken;
+}
+
+mono_time held_starts::nextDue() const
+{
+    return m_starts.empty() ? mono_time::max() : m_starts.front().since + LongestHold;
+}
+
+std::vector<held_start> held_starts::takeExpired(mono_time now)
+{
+    return takeAll([now](const held_start &start) {
+        return start.since + LongestHold <= now;
+    });
+}
+
+} // namespace teaselward
--- a/src/cli/load_command.cpp
+++ b/src/cli/load_command.cpp
@@ -27,7 +27,7 @@
 DEFINE_uint32(run_time_min_ms, 50, "shortest run time of a task");
 DEFINE_uint32(run_time_max_ms, 5000, "longest run time of a task");
 DEFINE_uint32(open_limit, 2000, "jobs without an answer at once; further arrivals are skipped and counted");
-DEFINE_uint32(seed, 1, "seed of arrivals, task counts and run times");
+DEFINE_uint32(arrival_seed, 1, "seed of arrivals, task counts and run times");
 
 namespace teaselward
 {
@@ -61,7 +61,7 @@
                                                     "run_time_min_ms",
                                                     "run_time_max_ms",
                                                     "open_limit",
-                                                    "seed"};
+                                                    "arrival_seed"};
 
 void printHelp(const flag_set &flags)
 {
@@ -118,7 +118,7 @@
     settings.runTimeSigma = FLAGS_run_time_sigma;
     settings.timeLimit = std::chrono::milliseconds(FLAGS_time_limit_ms);
     settings.openLimit = FLAGS_open_limit;
-    settings.seed = FLAGS_seed;
+    settings.seed = FLAGS_arrival_seed;
     return settings;
 }
 
--- a/src/core/reason.h
+++ b/src/core/reason.h
@@ -33,6 +33,7 @@
     invalid, ///< The configuration file is not valid.
     versionMismatch, ///< The peer speaks another protocol version.
     unauthorized, ///< The bearer token is missing or wrong.
+    ticketClosed, ///< An earlier submission of the ticket was refused as not run.
 };
 
 } // namespace teaselward
--- a/src/core/reason_text.cpp
+++ b/src/core/reason_text.cpp
@@ -11,7 +11,7 @@
 {
 
 // Indexed by the value of the enumerator.
-constexpr std::array<std::string_view, 26> Texts = {
+constexpr std::array<std::string_view, 27> Texts = {
     "none",
     "malformed",
     "too_large",
@@ -38,6 +38,7 @@
     "invalid",
     "version_mismatch",
     "unauthorized",
+    "ticket_closed",
 };
 
 } // namespace
--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -104,7 +104,8 @@
                  std::chrono::milliseconds(request.timeLimitMs),
                  std::move(request.tasks),
                  std::move(request.key)};
-    return m_dispatcher.dispatch(exchange, std::move(event), unanswered(job_state::failed, reason::outcomeUnknown, false), true);
+    // An earlier submission of the same ticket may run, so a refusal here proves something only for the first one.
+    return m_dispatcher.dispatch(exchange, std::move(event), unanswered(job_state::failed, reason::outcomeUnknown, false), request.firstAttempt);
 }
 
 // A refusal of a query or a cancellation tells nothing about the job, so it never says "not run".
--- a/src/http/json_field.h
+++ b/src/http/json_field.h
@@ -14,7 +14,7 @@
 struct json_field {
     std::string_view name;
     bool required = false;
-    std::variant<std::string T::*, std::uint64_t T::*, std::vector<std::string> T::*> member;
+    std::variant<std::string T::*, std::uint64_t T::*, bool T::*, std::vector<std::string> T::*> member;
 };
 
 } // namespace teaselward
--- a/src/http/json_object_reader.h
+++ b/src/http/json_object_reader.h
@@ -66,9 +66,14 @@
         return wrongType();
     }
 
-    bool boolean(bool /*value*/)
+    bool boolean(bool value)
     {
-        return wrongType();
+        const auto *member = memberOf<bool>();
+        if (member == nullptr || m_inArray) {
+            return wrongType();
+        }
+        m_value->*(*member) = value;
+        return true;
     }
 
     bool number_integer(number_integer_t /*value*/) // NOLINT(readability-identifier-naming)
--- a/src/http/reason_status.cpp
+++ b/src/http/reason_status.cpp
@@ -10,7 +10,7 @@
 {
 
 // Indexed by the value of the enumerator.
-constexpr std::array<unsigned, 26> Statuses = {
+constexpr std::array<unsigned, 27> Statuses = {
     200, // none
     400, // malformed
     413, // too_large
@@ -37,6 +37,7 @@
     422, // invalid
     502, // version_mismatch
     401, // unauthorized
+    409, // ticket_closed
 };
 
 } // namespace
--- a/src/http/request_codec.cpp
+++ b/src/http/request_codec.cpp
@@ -29,6 +29,7 @@
     json_field<submission_request>{"time_limit_ms", false, &submission_request::timeLimitMs},
     json_field<submission_request>{"tasks", true, &submission_request::tasks},
     json_field<submission_request>{"key", false, &submission_request::key},
+    json_field<submission_request>{"first_attempt", false, &submission_request::firstAttempt},
 };
 
 constexpr std::array DrainFields = {
--- a/src/http/submission_request.h
+++ b/src/http/submission_request.h
@@ -15,6 +15,7 @@
     std::uint64_t timeLimitMs = 0; ///< Zero for the time limit of the kind.
     std::vector<std::string> tasks; ///< One payload for each task.
     std::string key;
+    bool firstAttempt = false; ///< The caller states that it has not submitted this ticket before.
 };
 
 } // namespace teaselward
--- a/src/http/submit_session.cpp
+++ b/src/http/submit_session.cpp
@@ -102,12 +102,12 @@
         return std::nullopt;
     }
 
-    // Submits until there is a final answer.
-    job_answer submit(const std::string &body)
+    // Submits until there is a final answer. The same ticket is sent again unless an answer says that it never runs.
+    job_answer submit(submission_request request)
     {
-        bool mayRun = false; // A submission without an answer may have been taken.
+        bool mayRun = false; // A submission of the present ticket may have been taken.
         job_answer last = makeAnswer(job_state::refused, reason::overloaded, true);
-        while (const auto result = send("/v1/jobs", body)) {
+        while (const auto result = send("/v1/jobs", encodeSubmission(request))) {
             const auto answer = result->answered ? decodeAnswer(result->body) : std::nullopt;
             if (!answer || answer->state == job_state::running) {
                 mayRun = true;
@@ -116,17 +116,32 @@
                 if (!isRetryable(*answer)) {
                     break;
                 }
-                mayRun = mayRun || !answer->notRun;
+                // An overloaded entry has taken nothing, whatever became of earlier submissions.
+                mayRun = !answer->notRun && (mayRun || answer->why != reason::overloaded);
             }
             pause(answer ? answer->retryAfter : std::chrono::milliseconds(0));
+            if (answer && answer->notRun && !renewTicket(request, last)) {
+                break;
+            }
         }
-        // "Not run" speaks of one submission. Only the answers to all of them together tell that the job did not run.
         if (mayRun && last.state == job_state::refused) {
             return makeAnswer(job_state::failed, reason::outcomeUnknown, false);
         }
+        last.notRun = last.notRun || (last.state == job_state::refused && last.why == reason::overloaded);
         return last;
     }
 
+    // Takes a new ticket after a refusal that closed the present one; false if none can be had.
+    bool renewTicket(submission_request &request, job_answer &last)
+    {
+        const auto ticket = takeTicket(last);
+        if (ticket) {
+            request.ticket = *ticket;
+        }
+        last.notRun = last.notRun || !ticket;
+        return ticket.has_value();
+    }
+
     const submit_settings settings;
     caller_transport &transport;
     std::mt19937 random;
@@ -162,8 +177,7 @@
     request.key = d->settings.key;
     request.timeLimitMs = static_cast<std::uint64_t>(d->settings.timeLimit.count());
     request.tasks = payloads;
-    // The same bytes each time: a resubmission with other content would be refused.
-    return d->submit(encodeSubmission(request));
+    return d->submit(std::move(request));
 }
 
 } // namespace teaselward
--- a/src/job/job_manager.cpp
+++ b/src/job/job_manager.cpp
@@ -18,6 +18,7 @@
     , m_table(context.settings.ticketLifetime, context.settings.minAnswerTime, context.settings.maxJobs, context.settings.maxJobBytes)
     , m_admission(context, m_table)
     , m_waiters(context)
+    , m_closed(context.settings.ticketLifetime)
 {
 }
 
@@ -36,6 +37,10 @@
         m_context.reply(request, job.source.id, refusal(reason::ticketExpired));
         return;
     }
+    if (m_closed.isClosed(job.source.id.sequence)) {
+        m_context.reply(request, job.source.id, refusal(reason::ticketClosed));
+        return;
+    }
     const request_digest digest = digestOf(job);
     if (joinByKey(request, job, digest)) {
         return;
@@ -46,6 +51,9 @@
                 log_part::admit,
                 concat("Refused a job. ", ticketText(job.source.id), " kind=", job.kind, " team=", job.team, " reason=", reasonText(refused->why)));
         }
+        if (refused->notRun) {
+            m_closed.close(job.source.id.sequence, m_context.now);
+        }
         m_context.reply(request, job.source.id, *std::move(refused));
         return;
     }
--- a/src/job/job_manager.h
+++ b/src/job/job_manager.h
@@ -5,6 +5,7 @@
 #include "core/reason.h"
 #include "core/request_id.h"
 #include "core/ticket.h"
+#include "job/closed_tickets.h"
 #include "job/entry_context.h"
 #include "job/job_admission.h"
 #include "job/job_record.h"
@@ -101,6 +102,7 @@
     job_table m_table;
     job_admission m_admission;
     waiter_book m_waiters;
+    closed_tickets m_closed;
     timer_queue<std::uint64_t> m_deadlines; ///< Sequences of the running jobs.
 };
 
--- a/src/job/refusal.cpp
+++ b/src/job/refusal.cpp
@@ -22,6 +22,7 @@
     case reason::deadlineUnreachable:
     case reason::draining:
     case reason::kindFailing:
+    case reason::ticketClosed:
         return true;
     default:
         return false;
--- a/src/rpc/task_codec.cpp
+++ b/src/rpc/task_codec.cpp
@@ -18,7 +18,7 @@
 {
     task_outcome value;
     value.verdict = plainEnum(in.getVerdict(), task_verdict::unknown);
-    value.why = plainEnum(in.getWhy(), reason::unauthorized);
+    value.why = plainEnum(in.getWhy(), reason::ticketClosed);
     value.body = plainData(in.getBody());
     value.runTime = plainDuration<std::chrono::microseconds>(in.getRunTimeUs());
     return value;
--- a/tests/http/submit_session_test.cpp
+++ b/tests/http/submit_session_test.cpp
@@ -57,6 +57,8 @@
 
 const caller_result Complete = answered(200, R"({"state":"complete","tasks":1,"results":["A"]})");
 const caller_result Overloaded = answered(503, R"({"state":"refused","reason":"overloaded","not_run":true,"retry_after_ms":1})");
+const caller_result OverloadedAgain = answered(503, R"({"state":"refused","reason":"overloaded","not_run":false,"retry_after_ms":1})");
+const caller_result QueueFull = answered(429, R"({"state":"refused","reason":"queue_full","not_run":true,"retry_after_ms":1})");
 const caller_result Lost;
 
 submit_settings quickSettings()
@@ -89,7 +91,7 @@
 BOOST_AUTO_TEST_CASE(resubmitsTheSameTicketAfterALostConnection)
 {
     scripted_transport transport;
-    transport.jobResults = {Lost, Overloaded, Lost, Complete};
+    transport.jobResults = {Lost, OverloadedAgain, Lost, Complete};
     const job_answer answer = submit_session(quickSettings(), transport).run({"a"});
     BOOST_TEST((answer.state == job_state::complete));
     BOOST_TEST(answer.results.at(0) == "A");
@@ -118,7 +120,7 @@
     auto settings = quickSettings();
     settings.attemptLimit = 6;
     scripted_transport transport;
-    transport.jobResults = {Lost, Overloaded};
+    transport.jobResults = {Lost, OverloadedAgain};
     const job_answer answer = submit_session(settings, transport).run({"a"});
     BOOST_TEST((answer.state == job_state::failed));
     BOOST_TEST((answer.why == reason::outcomeUnknown));
@@ -139,6 +141,25 @@
     BOOST_TEST(transport.requests.size() == 6);
 }
 
+// Guards against retries of a ticket that its home has closed, and against "unknown" for a job that certainly did not run.
+BOOST_AUTO_TEST_CASE(takesANewTicketAfterNotRun)
+{
+    scripted_transport transport;
+    transport.jobResults = {Lost, QueueFull, Complete};
+    const job_answer answer = submit_session(quickSettings(), transport).run({"a"});
+    BOOST_TEST((answer.state == job_state::complete));
+    BOOST_TEST(transport.tickets == 2);
+    BOOST_TEST(submissions(transport).size() == 3);
+
+    auto settings = quickSettings();
+    settings.attemptLimit = 5;
+    scripted_transport refusing;
+    refusing.jobResults = {Lost, QueueFull};
+    const job_answer refused = submit_session(settings, refusing).run({"a"});
+    BOOST_TEST((refused.state == job_state::refused));
+    BOOST_TEST(refused.notRun);
+}
+
 // Guards against retries of refusals that no retry changes.
 BOOST_AUTO_TEST_CASE(doesNotRetryFinalAnswers)
 {
--- a/tests/settings/read_settings_test.cpp
+++ b/tests/settings/read_settings_test.cpp
@@ -43,7 +43,7 @@
     const auto result = read(ValidEntry + "retention_time = 5\n");
     BOOST_REQUIRE(result.errors.size() == 1);
     BOOST_TEST(result.errors[0].file == "entry.ini");
-    BOOST_TEST(result.errors[0].line == 13);
+    BOOST_TEST(result.errors[0].line == 14);
     BOOST_TEST(result.errors[0].key == "log.retention_time");
 }
 
@@ -51,8 +51,8 @@
 BOOST_AUTO_TEST_CASE(reportsEveryErrorAtOnce)
 {
     const auto result = read("[process]\nrole = entry\nfailure_domain = fd-1\n[callers]\nlisten = localhost\nbody_limit = 12\nidle_timeout = soon\n");
-    // Three wrong values and four missing keys.
-    BOOST_TEST(result.errors.size() == 7);
+    // Three wrong values and three missing keys.
+    BOOST_TEST(result.errors.size() == 6);
 }
 
 // Guards against a syntax error that hides the rest of the file.
