--- a/tests/job/fault_world.h
+++ b/tests/job/fault_world.h
@@ -51,6 +51,16 @@
     int fences = 0; ///< Fences sent, to show that recoveries took place.
     int revocations = 0; ///< Revocations sent, to show that starts became ambiguous.
 
+    static constexpr std::size_t Entries = 3;
+    static constexpr std::size_t Agents = 4;
+    static constexpr std::uint32_t Slots = 4;
+
+    /**
+     * Computes what an endpoint returns for a payload.
+     * @param payload the payload
+     */
+    static std::string resultOf(const std::string &payload);
+
 private:
     struct entry_process {
         std::unique_ptr<entry_core> core;
@@ -100,6 +110,28 @@
     void wakeAgent(std::size_t agent);
     void perform(std::size_t entry, const entry_action &action);
     void perform(std::size_t agent, const agent_action &action);
+    call_id newCall(std::size_t entry);
+    void sendToAgent(std::size_t entry, const agent_id &id, const agent_event &event);
+    void sendToCaller(std::size_t agent, const call_id &call, const entry_event &event);
+    void deliver(std::size_t entry, const start_task &action);
+    void deliver(std::size_t entry, const revoke_task &action);
+    void deliver(std::size_t entry, const fence_ticket &action);
+    void deliver(std::size_t entry, const send_demand &action);
+    void deliver(std::size_t entry, const forward_job &action);
+    void deliver(std::size_t entry, const reply_tickets &action);
+    void deliver(std::size_t entry, const reply_job &action);
+    void deliver(std::size_t agent, const answer_start &action);
+    void deliver(std::size_t agent, const answer_revoke &action);
+    void deliver(std::size_t agent, const answer_fence &action);
+    void deliver(std::size_t agent, const call_endpoint &action);
+    void deliver(std::size_t agent, const grant_credits &action);
+
+    /** Actions that need no message here. */
+    template<typename Action>
+    void deliver(std::size_t /*process*/, const Action & /*action*/)
+    {
+    }
+
     void forward(std::size_t entry, const request_id &request, const ticket &source, std::function<entry_event(request_id)> event);
     void answerForward(std::uint64_t call, bool reached, bool otherIncarnation, const job_answer &answer);
     void runOnEndpoint(std::size_t agent, const call_endpoint &call);
