Answer the demand of an entry without credit and task

Cause: an entry whose start was refused waits for the next release of the agent, which may take seconds. Change: setDemand() grants such an entry its part. Conclusion: demand messages of a stranded entry are of use; others still change nothing.

--- a/src/place/credit_account.h
+++ b/src/place/credit_account.h
@@ -11,6 +11,12 @@
     std::uint32_t running = 0;
     std::uint32_t held = 0; ///< Starts that wait for a slot at the agent.
     bool connected = false;
+
+    /** @return whether the entry has neither a credit nor a task here and so would hear nothing from the agent */
+    bool isStranded() const
+    {
+        return granted <= 0 && running == 0 && held == 0;
+    }
 };
 
 } // namespace teaselward
--- a/src/place/credit_allocator.cpp
+++ b/src/place/credit_allocator.cpp
@@ -72,8 +72,7 @@
     void settleStranded(const entry_id &entry, std::vector<credit_grant> &grants)
     {
         for (member &item : members) {
-            const bool stranded = item.account.granted <= 0 && item.account.running == 0 && item.account.held == 0;
-            if (stranded && !(item.entry == entry)) {
+            if (item.account.isStranded() && !(item.entry == entry)) {
                 settle(item.entry, item.account, grants);
             }
         }
@@ -131,9 +130,14 @@
     return grants;
 }
 
-std::vector<credit_grant> credit_allocator::setDemand(const entry_id & /*entry*/, std::uint32_t /*queued*/, mono_time /*now*/)
+std::vector<credit_grant> credit_allocator::setDemand(const entry_id &entry, std::uint32_t queued, mono_time /*now*/)
 {
-    return {};
+    std::vector<credit_grant> grants;
+    credit_account *account = d->find(entry);
+    if (queued > 0 && account != nullptr && account->isStranded()) {
+        d->settle(entry, *account, grants);
+    }
+    return grants;
 }
 
 // A start without a credit is accepted too if a slot is free, since a recall may have crossed it. The entry has used the credit
--- a/src/place/credit_allocator.h
+++ b/src/place/credit_allocator.h
@@ -64,8 +64,8 @@
     std::vector<credit_grant> lose(const entry_id &entry, mono_time now);
 
     /**
-     * Receives the number of tasks that wait at an entry. No policy of the table uses it at present: moving credits by demand
-     * cost more messages than it saved response time.
+     * Receives the number of tasks that wait at an entry. Only an entry that has neither a credit nor a task here is given
+     * credits: moving credits by demand cost more messages than it saved response time.
      * @param entry the entry
      * @param queued number of tasks
      * @param now present time
--- a/tests/place/credit_allocator_test.cpp
+++ b/tests/place/credit_allocator_test.cpp
@@ -191,7 +191,7 @@
 }
 
 // Guards against an entry whose only start was refused, which would never hear from the agent again.
-BOOST_AUTO_TEST_CASE(refusedEntryGetsACreditWithTheNextRelease)
+BOOST_AUTO_TEST_CASE(refusedEntryGetsACreditAgain)
 {
     credit_allocator allocator(2);
     allocator.join({1}, {});
@@ -199,7 +199,12 @@
     BOOST_TEST(allocator.take({1}));
     BOOST_TEST(deltaFor(allocator.join({2}, {}), 2) == 1);
     BOOST_TEST(!allocator.take({2}));
-    BOOST_TEST(deltaFor(allocator.release({1}, {}), 2) > 0);
+    BOOST_TEST(deltaFor(allocator.release({1}, {}), 2) == 1);
+    BOOST_TEST(allocator.take({2}));
+    BOOST_TEST(allocator.setDemand({2}, 5, {}).empty());
+    BOOST_TEST(deltaFor(allocator.join({3}, {}), 3) == 1);
+    BOOST_TEST(!allocator.take({3}));
+    BOOST_TEST(deltaFor(allocator.setDemand({3}, 5, {}), 3) == 1);
 }
 
 // Guards against starts that pile up at one agent without bound.
