--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -132,7 +132,7 @@
     runHeld();
 }
 
-void agent_core_private::refuseAllHeld(const held_starts::filter &isRefused, reason why)
+void agent_core_private::refuseAllHeld(const held_start_queue::filter &isRefused, reason why)
 {
     for (const held_start &start : m_held.takeAll(isRefused)) {
         refuseHeld(start, why);
--- a/src/agent/agent_core_private.h
+++ b/src/agent/agent_core_private.h
@@ -3,7 +3,7 @@
 #include "agent/agent_action.h"
 #include "agent/agent_core_settings.h"
 #include "agent/agent_event.h"
-#include "agent/held_starts.h"
+#include "agent/held_start_queue.h"
 #include "agent/ledger.h"
 #include "agent/session_table.h"
 #include "agent/waiting_call.h"
@@ -48,7 +48,7 @@
     void run(const call_id &call, const entry_id &from, const start_order &order);
     void runHeld();
     void refuseHeld(const held_start &start, reason why);
-    void refuseAllHeld(const held_starts::filter &isRefused, reason why);
+    void refuseAllHeld(const held_start_queue::filter &isRefused, reason why);
     void dropHeldOf(const entry_id &entry);
     void answerKnownStart(const start_received &event, const ledger_record &record);
     void refuseStart(const call_id &call, const entry_id &from, const task_id &id, reason why, std::int32_t credits);
@@ -58,7 +58,7 @@
     decision_log &m_log;
     ledger m_ledger;
     credit_allocator m_credits;
-    held_starts m_held;
+    held_start_queue m_held;
     session_table m_sessions;
     absl::flat_hash_map<task_id, std::vector<waiting_call>> m_running; ///< Calls in progress and who waits for them.
     std::optional<mono_time> m_drainEnd; ///< Set while the agent is leaving.
--- a/src/agent/held_starts.cpp
+++ b/src/agent/held_start_queue.cpp
@@ -1,4 +1,4 @@
-#include "agent/held_starts.h"
+#include "agent/held_start_queue.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,12 +15,12 @@
 
 } // namespace
 
-void held_starts::add(held_start start)
+void held_start_queue::add(held_start start)
 {
     m_starts.push_back(std::move(start));
 }
 
-std::optional<held_start> held_starts::takeFirst(const filter &isWanted)
+std::optional<held_start> held_start_queue::takeFirst(const filter &isWanted)
 {
     const auto found = std::ranges::find_if(m_starts, isWanted);
     if (found == m_starts.end()) {
@@ -31,7 +31,7 @@
     return taken;
 }
 
-std::vector<held_start> held_starts::takeAll(const filter &isWanted)
+std::vector<held_start> held_start_queue::takeAll(const filter &isWanted)
 {
     std::vector<held_start> taken;
     while (auto start = takeFirst(isWanted)) {
@@ -40,12 +40,12 @@
     return taken;
 }
 
-mono_time held_starts::nextDue() const
+mono_time held_start_queue::nextDue() const
 {
     return m_starts.empty() ? mono_time::max() : m_starts.front().since + LongestHold;
 }
 
-std::vector<held_start> held_starts::takeExpired(mono_time now)
+std::vector<held_start> held_start_queue::takeExpired(mono_time now)
 {
     return takeAll([now](const held_start &start) {
         return start.since + LongestHold <= now;
--- a/src/agent/held_starts.h
+++ b/src/agent/held_start_queue.h
@@ -11,7 +11,7 @@
 {
 
 /** Starts that wait for a free slot, oldest first. There are only a few, so searches are linear. */
-class held_starts
+class held_start_queue
 {
 public:
     /** Chooses starts by their properties. */
--- a/src/proc/shared_config.cpp
+++ b/src/proc/shared_config.cpp
@@ -46,10 +46,10 @@
     }
 }
 
-std::optional<config_copy> shared_config::newest()
+std::optional<config_copy> shared_config::newest(std::uint64_t above)
 {
     absl::MutexLock lock(&m_mutex);
-    return m_received;
+    return m_received && m_received->offset > above ? m_received : std::nullopt;
 }
 
 } // namespace teaselward
--- a/src/proc/shared_config.h
+++ b/src/proc/shared_config.h
@@ -33,7 +33,7 @@
     config_snapshot copy() const override;
     bool wants(std::uint64_t offset) const override;
     void receive(config_snapshot snapshot) override;
-    std::optional<config_copy> newest() override;
+    std::optional<config_copy> newest(std::uint64_t above) override;
 
 private:
     std::optional<config_copy> ownCopy() const;
