Move the store for held starts to the fakes of the bench

Cause: src/agent has its own held_starts now, and two types of one name in one namespace cannot be used together. Change: the bench's one is sim_held_starts in src/sim; its test moves along unchanged. Conclusion: the agent's type is the only held_starts.

--- a/src/sim/sim_endpoint.h
+++ b/src/sim/sim_endpoint.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "place/credit_allocator.h"
-#include "place/held_starts.h"
 #include "sim/event_heap.h"
+#include "sim/sim_held_starts.h"
 #include "sim/sim_links.h"
 #include "sim/sim_measures.h"
 #include "sim/sim_setup.h"
@@ -55,7 +55,7 @@
     sim_links &m_links;
     sim_measures &m_measures;
     credit_allocator m_allocator;
-    held_starts<held_start> m_held;
+    sim_held_starts<held_start> m_held;
     std::uint32_t m_running = 0;
 };
 
--- a/src/place/held_starts.h
+++ b/src/sim/sim_held_starts.h
@@ -14,11 +14,11 @@
 {
 
 /**
- * Starts that wait at an agent for a free slot, in the order of their arrival. A held start is not recorded as started. The
+ * Starts that wait at the fake agent for a free slot, in the order of their arrival. A held start is not recorded as started. The
  * credit_allocator bounds their number to a few for each slot, so that a search is short.
  */
 template<typename T>
-class held_starts
+class sim_held_starts
 {
 public:
     /**
--- a/tests/place/held_starts_test.cpp
+++ b/tests/sim/sim_held_starts_test.cpp
@@ -1,4 +1,4 @@
-#include "place/held_starts.h"
+#include "sim/sim_held_starts.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -8,13 +8,13 @@
 using namespace teaselward;
 using std::chrono::milliseconds;
 
-BOOST_AUTO_TEST_SUITE(held_starts_test)
+BOOST_AUTO_TEST_SUITE(sim_held_starts_test)
 
 // Guards against a held start that is run twice, runs after it was revoked, or waits without bound.
 BOOST_AUTO_TEST_CASE(eachStartIsTakenOnce)
 {
     const mono_time start{};
-    held_starts<std::string> held;
+    sim_held_starts<std::string> held;
     BOOST_TEST((held.nextDue() == mono_time::max()));
     held.add({1}, {{1, 1}, 0}, "first", start + milliseconds(10));
     held.add({2}, {{1, 2}, 0}, "second", start + milliseconds(20));
