--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -5,7 +5,7 @@
 #include "config/config_reader.h"
 #include "config/record_codec.h"
 #include "config/rule_publisher.h"
-#include "config/snapshot_schedule.h"
+#include "config/snapshot_publisher.h"
 #include "config/system_wall_clock.h"
 #include "platform/jittered_backoff.h"
 
@@ -30,9 +30,6 @@
 // Time between two attempts to put rules into a full ring.
 constexpr std::chrono::milliseconds FullRingDelay(20);
 
-// Part of the retention that passes before a snapshot is repeated that was appended but not read back.
-constexpr int RepeatDivisor = 8;
-
 const system_wall_clock MachineClock;
 
 constexpr std::string_view OutcomeTexts[] = {"accepted", "conflict", "invalid", "repeated", "ignored"};
@@ -51,11 +48,10 @@
                             std::uint64_t seed);
 
     const config_follower_settings settings;
-    platform_log &platform;
     decision_log &log;
     config_reader reader;
     rule_publisher publisher;
-    snapshot_schedule schedule;
+    snapshot_publisher snapshots;
     jittered_backoff backoff;
     bool isDown = false;
     bool wasCurrent = false;
@@ -73,7 +69,6 @@
     void handleSteps(const std::vector<read_step> &steps);
     void handleOutage(std::error_code error, mono_time begun);
     void bringIntoForce();
-    void publishSnapshotIfDue();
     void sleepUntil(mono_time until);
     bool shouldStop() const;
     std::chrono::milliseconds limitWait(std::chrono::milliseconds wait) const;
@@ -88,11 +83,10 @@
                                                  const wall_clock *clock,
                                                  std::uint64_t seed)
     : settings(options)
-    , platform(log)
     , log(lines)
     , reader(log, options.stream, peers)
     , publisher(events, clock == nullptr ? MachineClock : *clock, lines)
-    , schedule(options.retention, seed)
+    , snapshots(settings, log, lines, seed)
     , backoff(options.retryLimit, seed)
 {
 }
@@ -103,7 +97,9 @@
     while (!shouldStop()) {
         readOnce();
         publisher.evaluate();
-        publishSnapshotIfDue();
+        if (!isDown && reader.isCurrent()) {
+            snapshots.publishIfDue(reader);
+        }
     }
 }
 
@@ -132,7 +128,6 @@
         wasCurrent = false;
         return;
     }
-    const mono_time now = mono_clock::now();
     const bool isStart = !std::exchange(wasCurrent, true);
     bool isAccepted = false;
     for (const read_step &step : steps) {
@@ -151,10 +146,7 @@
     if (isStart || isAccepted) {
         bringIntoForce();
     }
-    if (!reader.fold().files().empty()) {
-        schedule.setOldestNeeded(reader.oldestNeeded(), !isStart, now);
-    }
-    schedule.setRetained(reader.firstRetained(), reader.nextOffset(), now);
+    snapshots.observe(reader, !isStart, mono_clock::now());
     const bool isBehind = reader.nextOffset() <= reader.fold().offset();
     if (isBehind && !isLogBehind) {
         write("the log ends below the offset in force=" + std::to_string(reader.fold().offset()) + "; changes have no effect until it is passed");
@@ -185,24 +177,6 @@
     shared = std::move(copy);
 }
 
-// An empty configuration needs no snapshot, since a reader without records has the same.
-void config_follower_private::publishSnapshotIfDue()
-{
-    if (isDown || !reader.isCurrent() || reader.fold().files().empty() || !schedule.isDue(mono_clock::now())) {
-        return;
-    }
-    std::uint64_t offset = 0;
-    const std::error_code error
-        = configErrorFromPlatform(platform.append(settings.stream, encodeRecord(reader.fold().snapshot()), settings.appendTimeout, offset));
-    if (error) {
-        write("snapshot not published: " + error.message());
-        schedule.postpone(settings.retryLimit, mono_clock::now());
-        return;
-    }
-    write("snapshot published offset=" + std::to_string(offset) + " covers=" + std::to_string(reader.fold().offset()));
-    schedule.postpone(settings.retention / RepeatDivisor, mono_clock::now());
-}
-
 // Sleeps in parts that end at the boundaries of local time, so that peaks begin and end during an outage too.
 void config_follower_private::sleepUntil(mono_time until)
 {
