--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -6,7 +6,7 @@
 #include "config/config_reader.h"
 #include "config/record_codec.h"
 #include "config/rule_publisher.h"
-#include "config/snapshot_schedule.h"
+#include "config/snapshot_publisher.h"
 #include "config/system_wall_clock.h"
 
 #include <absl/synchronization/mutex.h>
@@ -30,9 +30,6 @@
 // Time between two attempts to put rules into a full ring.
 constexpr std::chrono::milliseconds FullRingDelay(20);
 
-// Part of the retention that passes before a snapshot is repeated that was appended but not read back.
-constexpr int RepeatDivisor = 8;
-
 // The first delay after a failure, as a part of the longest one.
 constexpr int FirstDelayDivisor = 20;
 
@@ -54,11 +51,10 @@
                             std::uint64_t seed);
 
     const config_follower_settings settings;
-    platform_log &platform;
     decision_log &log;
     config_reader reader;
     rule_publisher publisher;
-    snapshot_schedule schedule;
+    snapshot_publisher snapshots;
     std::minstd_rand random;
     backoff delays;
     bool isDown = false;
@@ -77,7 +73,6 @@
     void handleSteps(const std::vector<read_step> &steps);
     void handleOutage(std::error_code error, mono_time begun);
     void bringIntoForce();
-    void publishSnapshotIfDue();
     void sleepUntil(mono_time until);
     bool shouldStop() const;
     std::chrono::milliseconds limitWait(std::chrono::milliseconds wait) const;
@@ -92,11 +87,10 @@
                                                  const wall_clock *clock,
                                                  std::uint64_t seed)
     : settings(options)
-    , platform(log)
     , log(lines)
     , reader(log, options.stream, peers)
     , publisher(events, clock == nullptr ? MachineClock : *clock, lines)
-    , schedule(options.retention, seed)
+    , snapshots(settings, log, lines, seed)
     , random(static_cast<std::minstd_rand::result_type>(seed))
     , delays(options.retryLimit / FirstDelayDivisor, options.retryLimit)
 {
@@ -108,7 +102,9 @@
     while (!shouldStop()) {
         readOnce();
         publisher.evaluate();
-        publishSnapshotIfDue();
+        if (!isDown && reader.isCurrent()) {
+            snapshots.publishIfDue(reader);
+        }
     }
 }
 
@@ -137,7 +133,6 @@
         wasCurrent = false;
         return;
     }
-    const mono_time now = mono_clock::now();
     const bool isStart = !std::exchange(wasCurrent, true);
     bool isAccepted = false;
     for (const read_step &step : steps) {
@@ -156,10 +151,7 @@
     if (isStart || isAccepted) {
         bringIntoForce();
     }
-    if (!reader.fold().files().empty()) {
-        schedule.setOldestNeeded(reader.oldestNeeded(), !isStart, now);
-    }
-    schedule.setRetained(reader.firstRetained(), reader.nextOffset(), now);
+    snapshots.observe(reader, !isStart, mono_clock::now());
     const bool isBehind = reader.nextOffset() <= reader.fold().offset();
     if (isBehind && !isLogBehind) {
         write("the log ends below the offset in force=" + std::to_string(reader.fold().offset()) + "; changes have no effect until it is passed");
@@ -190,24 +182,6 @@
     shared = std::move(copy);
 }
 
-// An empty configuration needs no snapshot, since a reader without records has the same.
-void config_follower_private::publishSnapshotIfDue()
-{
-    if (isDown || !reader.isCurrent() || reader.fold().files().empty() || !schedule.isDue(mono_clock::now())) {
-        return;
-    }
-    std::uint64_t offset = 0;
-    const std::error_code error
-        = configErrorFromPlatform(platform.append(settings.stream, encodeRecord(reader.fold().snapshot()), settings.appendTimeout, offset));
-    if (error) {
-        write("snapshot not published: " + error.message());
-        schedule.postpone(settings.retryLimit, mono_clock::now());
-        return;
-    }
-    write("snapshot published offset=" + std::to_string(offset) + " covers=" + std::to_string(reader.fold().offset()));
-    schedule.postpone(settings.retention / RepeatDivisor, mono_clock::now());
-}
-
 // Sleeps in parts that end at the boundaries of local time, so that peaks begin and end during an outage too.
 void config_follower_private::sleepUntil(mono_time until)
 {
