--- a/src/place/health_monitor.cpp
+++ b/src/place/health_monitor.cpp
@@ -39,7 +39,10 @@
         recordRun(endpoint, kindIndex, kind, true, now);
         break;
     case task_verdict::notStarted:
-        recordSaturation(endpoint, now);
+        // A revoked start says nothing about the endpoint; only a refusal that names a reason of the endpoint does.
+        if (outcome.why == reason::overloaded || outcome.why == reason::noEndpoint) {
+            recordSaturation(endpoint, now);
+        }
         break;
     case task_verdict::unknown:
         if (endpoint.probing) {
--- a/src/sim/sim_endpoint.cpp
+++ b/src/sim/sim_endpoint.cpp
@@ -51,6 +51,7 @@
         ++m_measures.bounced;
         task_outcome outcome;
         outcome.verdict = task_verdict::notStarted;
+        outcome.why = reason::overloaded;
         m_links.sendResult(m_number, entry, task, outcome, 0);
     }
 }
@@ -100,6 +101,7 @@
         ++m_measures.bounced;
         task_outcome outcome;
         outcome.verdict = task_verdict::notStarted;
+        outcome.why = reason::overloaded;
         answer(start->entry, start->task, outcome, m_allocator.dropHeld(idOf(start->entry), m_heap.now()));
     }
     runHeld();
