Tell entries to prefer another endpoint for a task with a tombstone

Cause: after a revocation the task was placed at the same agent again and again, whose tombstone refused it, until the job failed as no_endpoint (scenario agent_pause, request 6 after 8.3 s). Ruled out: held starts; their refusals carry the reason overloaded already. Change: a start refused by a tombstone says overloaded, so the endpoint rests for a moment and another one gets the task.

--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -159,7 +159,8 @@
         return;
     }
     if (record.state == held_state::notStarted) {
-        refuseStart(event.call, event.from, id, m_ledger.isFenced(id.ticket) ? reason::outcomeUnknown : record.outcome.why, UntakenCredit);
+        // A tombstone stands for the whole retention, so the entry is told to prefer another endpoint for the task.
+        refuseStart(event.call, event.from, id, m_ledger.isFenced(id.ticket) ? reason::outcomeUnknown : reason::overloaded, UntakenCredit);
         return;
     }
     if (m_log.isEnabled()) {
