--- a/src/proc/entry_parts.cpp
+++ b/src/proc/entry_parts.cpp
@@ -29,6 +29,7 @@
     result.adminToken = settings.operatorsToken;
     result.ticketKey = settings.ticketKey;
     result.bodyLimit = settings.bodyLimit;
+    result.drainBound = settings.drainBound;
     result.connectionLimit = settings.connectionLimit;
     result.idleTimeout = settings.idleTimeout;
     return result;
--- a/src/settings/load_settings.cpp
+++ b/src/settings/load_settings.cpp
@@ -1,8 +1,10 @@
 #include "settings/load_settings.h"
 
+#include "place/placement_strategies.h"
 #include "settings/read_settings.h"
 #include "settings/settings_tables.h"
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 #include <optional>
@@ -49,6 +51,9 @@
     require(settings.ticketKey.size() >= ShortestSecret, file, "tickets.key", "must have at least 16 characters", result);
     require(settings.heartbeat * 2 <= settings.lease, file, "peers.heartbeat", "must be at most half of peers.lease", result);
     const bool open = !settings.operatorsListen.empty() && !isLoopback(settings.operatorsListen);
+    const auto strategies = placementStrategyNames();
+    const bool isStrategy = std::ranges::find(strategies, settings.strategy) != strategies.end();
+    require(isStrategy, file, "placement.strategy", "no such strategy", result);
     require(!open || settings.operatorsToken.size() >= ShortestSecret,
             file,
             "operators.token",
--- a/tests/settings/read_settings_test.cpp
+++ b/tests/settings/read_settings_test.cpp
@@ -1,12 +1,16 @@
 #include "settings/read_settings.h"
 
+#include "config/config_merge.h"
 #include "settings/load_settings.h"
 #include "settings/settings_tables.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <string>
+#include <unistd.h>
 
 using namespace teaselward;
 
@@ -63,6 +67,33 @@
     BOOST_TEST(result.errors[0].line == 3);
 }
 
+// Guards against a process that ends with an exception because of a name that no table has.
+BOOST_AUTO_TEST_CASE(refusesAnUnknownStrategy)
+{
+    const auto path = std::filesystem::temp_directory_path() / ("teaselward-settings-" + std::to_string(::getpid()) + ".ini");
+    std::ofstream(path) << ValidEntry << "[placement]\nstrategy = best\n";
+    const auto errors = checkSettings(path.string());
+    std::filesystem::remove(path);
+    BOOST_REQUIRE(errors.size() == 1);
+    BOOST_TEST(errors[0].key == "placement.strategy");
+    BOOST_TEST(errors[0].line == 15);
+}
+
+// Guards against examples of configuration files that rot.
+BOOST_AUTO_TEST_CASE(acceptsEveryExampleOfConfiguration)
+{
+    std::size_t count = 0;
+    for (const auto &file : std::filesystem::recursive_directory_iterator(TEASELWARD_SOURCE_DIR "/examples")) {
+        if (file.path().parent_path().filename() == "config") {
+            std::ifstream stream(file.path());
+            const std::string text(std::istreambuf_iterator<char>(stream), {});
+            BOOST_TEST(!checkFile(file.path().filename().string(), text).has_value(), file.path().string());
+            ++count;
+        }
+    }
+    BOOST_TEST(count == 3);
+}
+
 // Guards against examples that rot.
 BOOST_AUTO_TEST_CASE(acceptsEveryExample)
 {
