--- a/src/cli/agent_command.cpp
+++ b/src/cli/agent_command.cpp
@@ -3,15 +3,13 @@
 #include "cli/command_flags.h"
 #include "cli/exit_status.h"
 #include "cli/print_errors.h"
-#include "log/process_log.h"
+#include "cli/run_until_stopped.h"
 #include "proc/agent_process.h"
-#include "proc/signal_watch.h"
-#include "proc/stop_request.h"
 #include "settings/load_settings.h"
 
 #include <gflags/gflags.h>
 
-#include <iostream>
+#include <memory>
 
 DECLARE_string(settings);
 
@@ -37,19 +35,10 @@
         printErrors(loaded.errors);
         return exit_status::badSettings;
     }
-    stop_request request;
-    const signal_watch signals([&request] {
-        request.signal();
+    const agent_settings &settings = loaded.settings;
+    return runUntilStopped("agent", settings.logDecisions, "agent of " + settings.endpointAddress, [&](decision_log &log) {
+        return std::make_unique<agent_process>(settings, log);
     });
-    process_log log("agent", loaded.settings.logDecisions);
-    agent_process process(loaded.settings, log);
-    request.connect([&process] {
-        process.requestStop();
-    });
-    std::cout << "agent of " << loaded.settings.endpointAddress << std::endl;
-    process.waitForStop();
-    request.disconnect();
-    return exit_status::success;
 }
 
 } // namespace teaselward
--- a/src/cli/bench_command.cpp
+++ b/src/cli/bench_command.cpp
@@ -1,10 +1,13 @@
 #include "cli/bench_command.h"
 
+#include "cli/command_flags.h"
+#include "cli/exit_status.h"
 #include "sim/bench_cases.h"
 #include "sim/bench_report.h"
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <iostream>
 #include <string>
 
@@ -14,19 +17,37 @@
 namespace teaselward
 {
 
+namespace
+{
+
+constexpr std::string_view Usage = "usage: teaselward bench [--seed=N] [--only=CASE]\n\n"
+                                   "Measures the decisions in virtual time. The cases are placement, floods, failing, overload, entries and cost.\n"
+                                   "Exit status: 0 done, 2 usage.";
+
+} // namespace
+
 // The signature is the same in every run of the same program with the same options.
 int runBench(int argc, char **argv)
 {
-    gflags::SetUsageMessage("bench [--seed=N] [--only=CASE]");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (const auto done = parseCommandFlags(argc, argv, Usage, {"seed", "only"})) {
+        return *done;
+    }
+    const auto cases = benchCases();
+    const bool isKnown = std::any_of(cases.begin(), cases.end(), [](const bench_case &item) {
+        return FLAGS_only.empty() || FLAGS_only == item.name;
+    });
+    if (!isKnown) {
+        std::cerr << "bench: no such case: " << FLAGS_only << '\n';
+        return exit_status::usage;
+    }
     bench_report report(std::cout, std::cerr);
-    for (const bench_case &item : benchCases()) {
+    for (const bench_case &item : cases) {
         if (FLAGS_only.empty() || FLAGS_only == item.name) {
             item.run(report, FLAGS_seed);
         }
     }
     report.line("Bench: " + std::to_string(report.signature()));
-    return 0;
+    return exit_status::success;
 }
 
 } // namespace teaselward
--- a/src/cli/check_settings_command.cpp
+++ b/src/cli/check_settings_command.cpp
@@ -6,26 +6,29 @@
 #include "settings/load_settings.h"
 
 #include <iostream>
+#include <string>
+#include <vector>
 
 namespace teaselward
 {
 
 int runCheckSettings(int argc, char **argv)
 {
-    const auto done = parseCommandFlags(argc, argv, "usage: teaselward check-settings FILE...\n\nExit status: 0 all valid, 2 usage, 3 errors.", {});
+    std::vector<std::string> files;
+    const auto done = parseCommandFlags(argc, argv, "usage: teaselward check-settings FILE...\n\nExit status: 0 all valid, 2 usage, 3 errors.", {}, &files);
     if (done) {
         return *done;
     }
-    if (argc < 2) {
+    if (files.empty()) {
         std::cerr << "check-settings: no file given\n";
         return exit_status::usage;
     }
     int status = exit_status::success;
-    for (int i = 1; i < argc; ++i) {
-        const auto errors = checkSettings(argv[i]);
+    for (const std::string &file : files) {
+        const auto errors = checkSettings(file);
         printErrors(errors);
         if (errors.empty()) {
-            std::cout << argv[i] << ": valid\n";
+            std::cout << file << ": valid\n";
         } else {
             status = exit_status::badSettings;
         }
--- a/src/cli/command_flags.cpp
+++ b/src/cli/command_flags.cpp
@@ -1,43 +1,33 @@
 #include "cli/command_flags.h"
 
-#include <gflags/gflags.h>
+#include "cli/exit_status.h"
+#include "cli/flag_set.h"
 
-#include <algorithm>
 #include <iostream>
-#include <string>
+#include <span>
 
 namespace teaselward
 {
 
-namespace
+std::optional<int>
+parseCommandFlags(int argc, char **argv, std::string_view usage, std::initializer_list<std::string_view> flags, std::vector<std::string> *operands)
 {
-
-void printFlags(std::string_view usage, std::initializer_list<std::string_view> flags)
-{
-    std::cout << usage << "\n\noptions:\n";
-    for (const std::string_view name : flags) {
-        const auto flag = gflags::GetCommandLineFlagInfoOrDie(std::string(name).c_str());
-        std::cout << "  --" << flag.name << "  " << flag.description << " (" << flag.type << ", default \"" << flag.default_value << "\")\n";
+    flag_set set(std::span(flags.begin(), flags.size()));
+    std::string error = set.parse(argc, argv);
+    if (set.wantsHelp()) {
+        std::cout << usage << "\n\noptions:\n";
+        set.describe(std::cout);
+        return exit_status::success;
     }
-}
-
-bool asksForHelp(int argc, char **argv)
-{
-    return std::any_of(argv, argv + argc, [](const char *argument) {
-        return std::string_view(argument) == "--help";
-    });
-}
-
-} // namespace
-
-std::optional<int> parseCommandFlags(int &argc, char **&argv, std::string_view usage, std::initializer_list<std::string_view> flags)
-{
-    if (asksForHelp(argc, argv)) {
-        printFlags(usage, flags);
-        return 0;
+    if (operands != nullptr) {
+        *operands = set.arguments();
+    } else if (error.empty() && !set.arguments().empty()) {
+        error = "unexpected argument '" + set.arguments().front() + "'";
+    }
+    if (!error.empty()) {
+        std::cerr << error << "\n" << usage << '\n';
+        return exit_status::usage;
     }
-    gflags::SetUsageMessage(std::string(usage));
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
     return std::nullopt;
 }
 
--- a/src/cli/command_flags.h
+++ b/src/cli/command_flags.h
@@ -2,19 +2,23 @@
 
 #include <initializer_list>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace teaselward
 {
 
 /**
  * Parses the flags of a subcommand and handles --help, which lists only the flags of that subcommand.
- * @param argc number of arguments; reduced to those that are no flags
- * @param argv arguments; the flags are taken out
+ * @param argc number of arguments
+ * @param argv arguments; the first is the name of the subcommand
  * @param usage text that the help starts with
  * @param flags names of the flags of the subcommand
+ * @param operands receives the arguments that are no flags; null if there must be none
  * @return exit status if the subcommand is done already, otherwise nothing
  */
-std::optional<int> parseCommandFlags(int &argc, char **&argv, std::string_view usage, std::initializer_list<std::string_view> flags);
+std::optional<int>
+parseCommandFlags(int argc, char **argv, std::string_view usage, std::initializer_list<std::string_view> flags, std::vector<std::string> *operands = nullptr);
 
 } // namespace teaselward
--- a/src/cli/entry_command.cpp
+++ b/src/cli/entry_command.cpp
@@ -3,16 +3,14 @@
 #include "cli/command_flags.h"
 #include "cli/exit_status.h"
 #include "cli/print_errors.h"
-#include "log/process_log.h"
+#include "cli/run_until_stopped.h"
 #include "platform/http_log.h"
 #include "proc/entry_process.h"
-#include "proc/signal_watch.h"
-#include "proc/stop_request.h"
 #include "settings/load_settings.h"
 
 #include <gflags/gflags.h>
 
-#include <iostream>
+#include <memory>
 
 DEFINE_string(settings, "", "INI file with the settings of the process");
 
@@ -38,25 +36,11 @@
         printErrors(loaded.errors);
         return exit_status::badSettings;
     }
-    stop_request request;
-    const signal_watch signals([&request] {
-        request.signal();
+    const entry_settings &settings = loaded.settings;
+    http_log platform({.url = settings.logUrl});
+    return runUntilStopped("entry", settings.logDecisions, "entry listening " + settings.callersListen, [&](decision_log &log) {
+        return std::make_unique<entry_process>(settings, platform, log);
     });
-    process_log log("entry", loaded.settings.logDecisions);
-    http_log platform({.url = loaded.settings.logUrl});
-    try {
-        entry_process process(loaded.settings, platform, log);
-        request.connect([&process] {
-            process.requestStop();
-        });
-        std::cout << "entry listening " << loaded.settings.callersListen << std::endl;
-        process.waitForStop();
-        request.disconnect();
-    } catch (const std::system_error &error) {
-        std::cerr << "entry: " << error.what() << '\n';
-        return exit_status::failure;
-    }
-    return exit_status::success;
 }
 
 } // namespace teaselward
