--- a/src/job/backoff.h
+++ /dev/null
@@ -1,4 +0,0 @@
-#pragma once
-
-#include "base/backoff.h"
-#include "job/job_random.h"
--- a/src/job/forward_record.h
+++ b/src/job/forward_record.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/backoff.h"
 #include "base/clock.h"
 #include "core/job_request.h"
-#include "job/backoff.h"
 #include "job/forward_kind.h"
 
 #include <chrono>
--- a/src/job/placement.h
+++ b/src/job/placement.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/backoff.h"
 #include "core/agent_id.h"
 #include "core/task_id.h"
-#include "job/backoff.h"
 #include "job/placement_state.h"
 #include "job/timer_queue.h"
 #include "share/queued_task.h"
--- a/src/job/recovery.h
+++ b/src/job/recovery.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "base/backoff.h"
 #include "base/clock.h"
 #include "core/agent_id.h"
 #include "core/held_task.h"
 #include "core/request_id.h"
 #include "core/ticket_id.h"
-#include "job/backoff.h"
 #include "job/fence_state.h"
 #include "job/request_digest.h"
 #include "job/timer_queue.h"
--- a/src/job/returned_tasks.cpp
+++ b/src/job/returned_tasks.cpp
@@ -1,9 +1,9 @@
 #include "job/returned_tasks.h"
 
+#include "base/backoff.h"
 #include "core/concat.h"
 #include "core/reason_text.h"
 #include "core/task_text.h"
-#include "job/backoff.h"
 
 #include <algorithm>
 #include <chrono>
