Show that the announcement of leaving matters

Cause: three guards had a scenario with the guard switched off, the announcement of a leaving endpoint had none. Change: guard_leaving_off keeps the announcement back and expects the checker to report starts sent after 2 s. Conclusion: the check of leaving endpoints can fail.

--- a/tests/scenario/scenario_functions.cpp
+++ b/tests/scenario/scenario_functions.cpp
@@ -217,6 +217,7 @@
         {"revoke", &world::answerRevokesUnasked},
         {"ledger", &world::forgetLedgers},
         {"fence", &world::answerFencesUnasked},
+        {"leaving", &world::keepLeavingSilent},
     };
     const std::string name = text(1);
     for (const auto &[candidate, call] : guards) {
--- a/tests/scenario/scenario_script.cpp
+++ b/tests/scenario/scenario_script.cpp
@@ -26,7 +26,7 @@
     {"starts_at", &scenario_script::startsAt}, // starts_at(agent) -> tasks started there
     {"starts_of", &scenario_script::startsOf}, // starts_of(ticket) -> tasks started
     {"drained", &scenario_script::drained}, // drained("entry"|"agent", position) -> boolean
-    {"guard_off", &scenario_script::guardOff}, // guard_off("revoke"|"ledger"|"fence")
+    {"guard_off", &scenario_script::guardOff}, // guard_off("revoke"|"ledger"|"fence"|"leaving")
     {"expect", &scenario_script::expect}, // expect(condition, text)
     {"violations", &scenario_script::violations}, // violations() -> list of texts
 };
--- a/tests/scenario/world.cpp
+++ b/tests/scenario/world.cpp
@@ -153,6 +153,11 @@
     m_ledgersForgotten = true;
 }
 
+void world::keepLeavingSilent()
+{
+    m_leavingSilent = true;
+}
+
 void world::answerFencesUnasked()
 {
     m_fencesUnasked = true;
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -62,6 +62,7 @@
     void answerRevokesUnasked();
     void forgetLedgers();
     void answerFencesUnasked();
+    void keepLeavingSilent();
 
     void applyRules(const rule_set &rules);
     void run(std::chrono::milliseconds duration);
@@ -150,6 +151,7 @@
     bool m_revokesUnasked = false;
     bool m_fencesUnasked = false;
     bool m_ledgersForgotten = false;
+    bool m_leavingSilent = false;
 };
 
 } // namespace teaselward::testing
--- a/tests/scenario/world_agent_actions.cpp
+++ b/tests/scenario/world_agent_actions.cpp
@@ -122,6 +122,9 @@
 
 void world::onAnnounceLeaving(std::size_t agent, agent_action & /*action*/)
 {
+    if (m_leavingSilent) {
+        return;
+    }
     for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
         carry(entry, agent, [this, entry, agent] {
             m_entries[entry]->deliver(agent_leaving{m_agentInfos[agent].id});
--- /dev/null
+++ b/tests/scenarios/guard_leaving_off.lua
@@ -0,0 +1,10 @@
+-- Shows that the announcement matters: if entries are not told, the checker reports starts sent to a leaving endpoint.
+start{entries = 1, agents = 2, slots = 2}
+guard_off("leaving")
+fault("drain_agent", 0)
+run(2500)
+for _, ticket in ipairs(tickets(0, 10)) do
+    submit(0, {ticket = ticket, tasks = 2, ms = 100})
+end
+run(5000)
+expect(#violations() > 0, "a start to the leaving endpoint is reported")
