--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -24,7 +25,8 @@
 constexpr int WaitSteps = 1200;
 constexpr std::chrono::milliseconds WaitStep{50};
 
-std::string freeAddress()
+// Asks the system for a free port. It may be given out again until a process binds it, so the caller compares.
+std::string anyFreeAddress()
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
@@ -40,6 +42,17 @@
     return absl::StrCat("127.0.0.1:", ntohs(address.sin_port));
 }
 
+// Finds a free port that this program has not handed out before.
+std::string freeAddress()
+{
+    static std::set<std::string> used;
+    std::string address = anyFreeAddress();
+    while (!used.insert(address).second) {
+        address = anyFreeAddress();
+    }
+    return address;
+}
+
 std::string program(const std::string &name)
 {
     return (std::filesystem::path(Binary).parent_path() / name).string();
