--- a/src/agent/held_start_queue.cpp
+++ b/src/agent/held_start_queue.cpp
@@ -1,20 +1,13 @@
 #include "agent/held_start_queue.h"
 
+#include "place/credit_allocator.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace teaselward
 {
 
-namespace
-{
-
-// A start held for longer goes back to its entry, which may know a free slot elsewhere. Shorter holds cost more messages than
-// they save time; see docs/decisions/placement.md.
-constexpr std::chrono::milliseconds LongestHold{150};
-
-} // namespace
-
 void held_start_queue::add(held_start start)
 {
     m_starts.push_back(std::move(start));
@@ -42,13 +35,13 @@
 
 mono_time held_start_queue::nextDue() const
 {
-    return m_starts.empty() ? mono_time::max() : m_starts.front().since + LongestHold;
+    return m_starts.empty() ? mono_time::max() : m_starts.front().since + credit_allocator::LongestHold;
 }
 
 std::vector<held_start> held_start_queue::takeExpired(mono_time now)
 {
     return takeAll([now](const held_start &start) {
-        return start.since + LongestHold <= now;
+        return start.since + credit_allocator::LongestHold <= now;
     });
 }
 
