--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # `make demo` and `make test` are all that a fresh machine needs.
 BUILD := build
 JOBS := $(shell nproc)
+STRICT := OFF
 
 .PHONY: all setup build demo test format check-format lint wire clean
 
@@ -10,7 +11,7 @@
 	@tools/setup
 
 build: setup
-	@cmake -S . -B $(BUILD) -G Ninja > /dev/null
+	@cmake -S . -B $(BUILD) -G Ninja -DTEASELWARD_STRICT=$(STRICT) > /dev/null
 	@cmake --build $(BUILD) -- -j $(JOBS)
 
 demo: build
--- a/src/agent/action/call_endpoint.h
+++ b/src/agent/action/call_endpoint.h
@@ -14,6 +14,7 @@
     std::string kind;
     std::string payload;
     std::chrono::milliseconds timeLimit{};
+    std::string key{}; ///< Identifier of the job that the caller chose; may be empty.
 };
 
 } // namespace teaselward
--- a/src/agent/agent_action.h
+++ b/src/agent/agent_action.h
@@ -5,8 +5,10 @@
 #include "agent/action/answer_revoke.h"
 #include "agent/action/answer_start.h"
 #include "agent/action/call_endpoint.h"
+#include "agent/action/end_sessions.h"
 #include "agent/action/finish_agent_drain.h"
 #include "agent/action/grant_credits.h"
+#include "agent/action/stop_call.h"
 
 #include <variant>
 
@@ -14,6 +16,7 @@
 {
 
 /** Everything that the decisions of an agent ask of its adapters. */
-using agent_action = std::variant<answer_start, answer_revoke, answer_fence, call_endpoint, grant_credits, announce_leaving, finish_agent_drain>;
+using agent_action
+    = std::variant<answer_start, answer_revoke, answer_fence, call_endpoint, stop_call, end_sessions, grant_credits, announce_leaving, finish_agent_drain>;
 
 } // namespace teaselward
--- a/src/agent/agent_core_held.cpp
+++ b/src/agent/agent_core_held.cpp
@@ -14,19 +14,31 @@
 void agent_core_private::run(const call_id &call, const entry_id &from, const start_order &order)
 {
     m_ledger.recordStart(order.id);
-    m_running[order.id].push_back({.call = call, .from = from, .session = m_sessions.current(from)});
+    m_room.take(order.needs);
+    m_running[order.id] = {.calls = {{.call = call, .from = from, .session = m_sessions.current(from)}},
+                           .needs = order.needs,
+                           .restartable = order.restartable,
+                           .isStopping = false};
     if (m_log.isEnabled()) {
-        m_log.write(log_part::agent, concat("Started a task. ", taskText(order.id), " kind=", order.kind, " entry=", from.value));
+        m_log.write(log_part::agent, concat("Started a task. ", taskText(order.id), " kind=", order.kind, " entry=", from.value, " job=", order.key));
     }
-    m_actions->push_back(call_endpoint{.id = order.id, .kind = order.kind, .payload = order.payload, .timeLimit = order.timeLimit});
+    m_actions->push_back(call_endpoint{.id = order.id, .kind = order.kind, .payload = order.payload, .timeLimit = order.timeLimit, .key = order.key});
 }
 
 // Gives free slots to held starts. The time that a start was held counts against its limit.
 void agent_core_private::runHeld()
 {
-    while (const auto entry = m_credits.takeHeld()) {
-        auto start = m_held.takeFirst([&entry](const held_start &held) {
-            return held.from == *entry;
+    const auto fits = [this](const held_start &held) {
+        return m_room.fits(held.order.needs);
+    };
+    const auto hasFitting = [this, &fits](const entry_id &entry) {
+        return m_held.contains([&fits, &entry](const held_start &held) {
+            return held.from == entry && fits(held);
+        });
+    };
+    while (const auto entry = m_credits.takeHeld(hasFitting)) {
+        auto start = m_held.takeFirst([&entry, &fits](const held_start &held) {
+            return held.from == *entry && fits(held);
         });
         start->order.timeLimit -= std::chrono::duration_cast<std::chrono::milliseconds>(m_now - start->since);
         run(start->call, start->from, start->order);
--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -17,6 +17,9 @@
 // A start that never took its credit leaves it with the entry, so the answer returns it.
 constexpr std::int32_t UntakenCredit = 1;
 
+// While there are sessions the core asks to be called this many times within their lease.
+constexpr int CallsPerLease = 2;
+
 } // namespace
 
 template<auto Member, typename Event>
@@ -29,6 +32,9 @@
     : m_log(log)
     , m_ledger(settings.retention, settings.maxRecords, settings.maxResultBytes)
     , m_credits(settings.self.slots)
+    , m_room(settings.capacity)
+    , m_taskSize(settings.capacity, settings.self.slots)
+    , m_sessionLease(settings.sessionLease)
 {
 }
 
@@ -38,6 +44,7 @@
     using core = agent_core_private;
     static constexpr std::array<handler, std::variant_size_v<agent_event>> handlers = {
         &core::call<&core::onStart, start_received>,
+        &core::call<&core::onStop, stop_received>,
         &core::call<&core::onRevoke, revoke_received>,
         &core::call<&core::onFence, fence_received>,
         &core::call<&core::onDemand, demand_received>,
@@ -47,8 +54,9 @@
         &core::call<&core::onTimer, agent_timer_fired>,
         &core::call<&core::onDrainStarted, agent_drain_started>,
     };
-    m_now = now;
     m_actions = &actions;
+    detectPause(now);
+    m_now = now;
     m_ledger.expire(now);
     for (const held_start &start : m_held.takeExpired(now)) {
         refuseHeld(start, reason::overloaded);
@@ -58,10 +66,30 @@
     m_actions = nullptr;
 }
 
+// After a pause the entries may have given up the sessions and started the tasks elsewhere, so an order that waited in a
+// buffer meanwhile must not start anything.
+void agent_core_private::detectPause(mono_time now)
+{
+    if (m_sessionLease.count() == 0 || m_sessions.size() == 0 || now - m_now <= m_sessionLease) {
+        return;
+    }
+    if (m_log.isEnabled()) {
+        const auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_now);
+        m_log.write(log_part::agent, concat("Was paused; all sessions end. gap_ms=", gap.count(), " running=", m_running.size()));
+    }
+    m_now = now;
+    for (const entry_id &entry : m_sessions.entries()) {
+        onEntryLost({.entry = entry});
+    }
+    m_actions->push_back(end_sessions{});
+}
+
 mono_time agent_core_private::nextDue() const
 {
     const bool awaitsBound = m_drainEnd && !m_isDrained;
-    return std::min({m_ledger.nextDue(), m_held.nextDue(), awaitsBound ? *m_drainEnd : mono_time::max()});
+    // A longer gap between two calls than this shows that the thread was paused.
+    const mono_time watch = m_sessionLease.count() > 0 && m_sessions.size() > 0 ? m_now + m_sessionLease / CallsPerLease : mono_time::max();
+    return std::min({watch, m_ledger.nextDue(), m_held.nextDue(), awaitsBound ? *m_drainEnd : mono_time::max()});
 }
 
 // Records the start before the endpoint is called. A task that has a record never reaches the endpoint again.
@@ -72,6 +100,8 @@
     if (isConnected) {
         grant(m_credits.setDemand(event.from, event.order.demand, m_now), nullptr);
     }
+    m_taskSize.add(event.order.needs);
+    m_credits.resize(m_taskSize.slots());
     // A repeated start of a held task replaces the held one, else both could run.
     refuseAllHeld(
         [&id](const held_start &held) {
@@ -88,10 +118,10 @@
         refuse(reason::outcomeUnknown, UntakenCredit);
     } else if (m_drainEnd) {
         refuse(reason::draining, 0);
-    } else if (!m_ledger.hasRoom() || !isConnected) {
+    } else if (!m_ledger.hasRoom() || !isConnected || !m_room.canEverFit(event.order.needs)) {
         // A credit that was not taken is returned, unless its session has ended.
         refuse(reason::overloaded, isConnected ? UntakenCredit : 0);
-    } else if (m_credits.take(event.from)) {
+    } else if (m_room.fits(event.order.needs) ? m_credits.take(event.from) : m_credits.spend(event.from)) {
         run(event.call, event.from, event.order);
     } else if (m_credits.hold(event.from)) {
         m_held.add({.call = event.call, .from = event.from, .order = event.order, .since = m_now});
@@ -105,7 +135,7 @@
 {
     const task_id &id = event.order.id;
     if (record.state == held_state::running) {
-        m_running[id].push_back({.call = event.call, .from = event.from, .session = m_sessions.current(event.from)});
+        m_running[id].calls.push_back({.call = event.call, .from = event.from, .session = m_sessions.current(event.from)});
         return;
     }
     if (record.state == held_state::notStarted) {
@@ -129,6 +159,40 @@
         answer_start{.call = call, .id = id, .outcome = {.verdict = task_verdict::notStarted, .why = why, .body = {}, .runTime = {}}, .credits = credits});
 }
 
+void agent_core_private::onStop(const stop_received &event)
+{
+    refuseAllHeld(
+        [&event](const held_start &held) {
+            return held.order.id == event.id;
+        },
+        reason::cancelled);
+    if (const auto found = m_running.find(event.id); found != m_running.end() && found->second.restartable) {
+        stopRun(event.id, found->second);
+    }
+}
+
+void agent_core_private::stopRun(const task_id &id, running_task &task)
+{
+    if (task.isStopping) {
+        return;
+    }
+    task.isStopping = true;
+    if (m_log.isEnabled()) {
+        m_log.write(log_part::agent, concat("Stopped a run. ", taskText(id), " entry=", task.calls.front().from.value));
+    }
+    m_actions->push_back(stop_call{.id = id});
+}
+
+// The home cannot receive the results any more, and its caller may soon have the tasks started by another entry.
+void agent_core_private::stopRunsOf(const entry_id &entry)
+{
+    for (auto &[id, task] : m_running) {
+        if (task.restartable && task.calls.front().from == entry) {
+            stopRun(id, task);
+        }
+    }
+}
+
 // Returns what is known about the task. A task without a record gets a tombstone first, so that a late start is refused.
 void agent_core_private::onRevoke(const revoke_received &event)
 {
@@ -183,7 +247,8 @@
     if (found == m_running.end()) {
         return;
     }
-    const std::vector<waiting_call> calls = std::move(found->second);
+    const std::vector<waiting_call> calls = std::move(found->second.calls);
+    m_room.release(found->second.needs);
     m_running.erase(found);
     m_ledger.recordOutcome(event.id, event.outcome, m_now);
     const waiting_call &first = calls.front();
@@ -210,6 +275,7 @@
 void agent_core_private::onEntryJoined(const entry_joined &event)
 {
     dropHeldOf(event.info.id);
+    stopRunsOf(event.info.id);
     m_sessions.begin(event.info.id);
     grant(m_credits.join(event.info.id, m_now), nullptr);
 }
@@ -217,6 +283,7 @@
 void agent_core_private::onEntryLost(const entry_lost &event)
 {
     dropHeldOf(event.entry);
+    stopRunsOf(event.entry);
     m_sessions.end(event.entry);
     grant(m_credits.lose(event.entry, m_now), nullptr);
     runHeld();
--- a/src/agent/agent_core_private.h
+++ b/src/agent/agent_core_private.h
@@ -3,16 +3,19 @@
 #include "agent/agent_action.h"
 #include "agent/agent_core_settings.h"
 #include "agent/agent_event.h"
+#include "agent/endpoint_room.h"
 #include "agent/held_start_queue.h"
 #include "agent/ledger.h"
+#include "agent/running_task.h"
 #include "agent/session_table.h"
-#include "agent/waiting_call.h"
+#include "agent/task_size_estimate.h"
 #include "base/clock.h"
 #include "log/decision_log.h"
 #include "place/credit_allocator.h"
 
 #include <absl/container/flat_hash_map.h>
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -36,6 +39,7 @@
     void call(const agent_event &event);
 
     void onStart(const start_received &event);
+    void onStop(const stop_received &event);
     void onRevoke(const revoke_received &event);
     void onFence(const fence_received &event);
     void onDemand(const demand_received &event);
@@ -45,6 +49,9 @@
     void onTimer(const agent_timer_fired &event);
     void onDrainStarted(const agent_drain_started &event);
 
+    void detectPause(mono_time now);
+    void stopRunsOf(const entry_id &entry);
+    void stopRun(const task_id &id, running_task &task);
     void run(const call_id &call, const entry_id &from, const start_order &order);
     void runHeld();
     void refuseHeld(const held_start &start, reason why);
@@ -60,7 +67,10 @@
     credit_allocator m_credits;
     held_start_queue m_held;
     session_table m_sessions;
-    absl::flat_hash_map<task_id, std::vector<waiting_call>> m_running; ///< Calls in progress and who waits for them.
+    absl::flat_hash_map<task_id, running_task> m_running;
+    endpoint_room m_room;
+    task_size_estimate m_taskSize;
+    std::chrono::milliseconds m_sessionLease; ///< Zero if pauses are not watched for.
     std::optional<mono_time> m_drainEnd; ///< Set while the agent is leaving.
     bool m_isDrained = false;
     mono_time m_now{}; ///< Time of the event in progress.
--- a/src/agent/agent_event.h
+++ b/src/agent/agent_event.h
@@ -9,6 +9,7 @@
 #include "agent/event/fence_received.h"
 #include "agent/event/revoke_received.h"
 #include "agent/event/start_received.h"
+#include "agent/event/stop_received.h"
 
 #include <variant>
 
@@ -16,7 +17,15 @@
 {
 
 /** Everything that can change the state of an agent. */
-using agent_event = std::
-    variant<start_received, revoke_received, fence_received, demand_received, call_finished, entry_joined, entry_lost, agent_timer_fired, agent_drain_started>;
+using agent_event = std::variant<start_received,
+                                 stop_received,
+                                 revoke_received,
+                                 fence_received,
+                                 demand_received,
+                                 call_finished,
+                                 entry_joined,
+                                 entry_lost,
+                                 agent_timer_fired,
+                                 agent_drain_started>;
 
 } // namespace teaselward
--- /dev/null
+++ b/src/agent/endpoint_room.cpp
@@ -0,0 +1,51 @@
+#include "agent/endpoint_room.h"
+
+namespace teaselward
+{
+
+namespace
+{
+
+bool isWithin(const task_resources &used, const task_resources &needs, const task_resources &capacity)
+{
+    return std::uint64_t{used.cpuMillis} + needs.cpuMillis <= capacity.cpuMillis && std::uint64_t{used.memoryMb} + needs.memoryMb <= capacity.memoryMb
+        && std::uint64_t{used.gpus} + needs.gpus <= capacity.gpus;
+}
+
+} // namespace
+
+endpoint_room::endpoint_room(const task_resources &capacity)
+    : m_capacity(capacity)
+{
+}
+
+bool endpoint_room::isLimited() const
+{
+    return m_capacity != task_resources{};
+}
+
+bool endpoint_room::fits(const task_resources &needs) const
+{
+    return !isLimited() || isWithin(m_used, needs, m_capacity);
+}
+
+bool endpoint_room::canEverFit(const task_resources &needs) const
+{
+    return !isLimited() || isWithin({}, needs, m_capacity);
+}
+
+void endpoint_room::take(const task_resources &needs)
+{
+    m_used.cpuMillis += needs.cpuMillis;
+    m_used.memoryMb += needs.memoryMb;
+    m_used.gpus += needs.gpus;
+}
+
+void endpoint_room::release(const task_resources &needs)
+{
+    m_used.cpuMillis -= needs.cpuMillis;
+    m_used.memoryMb -= needs.memoryMb;
+    m_used.gpus -= needs.gpus;
+}
+
+} // namespace teaselward
--- a/src/agent/held_start_queue.cpp
+++ b/src/agent/held_start_queue.cpp
@@ -13,6 +13,11 @@
     m_starts.push_back(std::move(start));
 }
 
+bool held_start_queue::contains(const filter &isWanted) const
+{
+    return std::ranges::any_of(m_starts, isWanted);
+}
+
 std::optional<held_start> held_start_queue::takeFirst(const filter &isWanted)
 {
     const auto found = std::ranges::find_if(m_starts, isWanted);
--- a/src/agent/held_start_queue.h
+++ b/src/agent/held_start_queue.h
@@ -23,6 +23,12 @@
      */
     void add(held_start start);
 
+    /**
+     * Tells whether any held start is wanted.
+     * @param isWanted tells the wanted ones
+     */
+    bool contains(const filter &isWanted) const;
+
     /**
      * Takes the oldest start that passes a filter.
      * @param isWanted the filter
--- a/src/agent/ledger.cpp
+++ b/src/agent/ledger.cpp
@@ -23,6 +23,15 @@
     return outcome;
 }
 
+// Finds the record of one attempt of a task among those of its ticket.
+template<typename Records>
+auto findIn(Records &records, const task_id &id)
+{
+    return std::ranges::find_if(records, [&id](const ledger_record &record) {
+        return record.index == id.index && record.attempt == id.attempt;
+    });
+}
+
 } // namespace
 
 ledger::ledger(std::chrono::milliseconds retention, std::uint32_t maxRecords, std::uint64_t maxResultBytes)
@@ -39,7 +48,7 @@
         return nullptr;
     }
     const auto &records = ticket->second.records;
-    const auto found = std::ranges::find(records, id.index, &ledger_record::index);
+    const auto found = findIn(records, id);
     return found == records.end() ? nullptr : &*found;
 }
 
@@ -68,7 +77,7 @@
 
 void ledger::recordStart(const task_id &id)
 {
-    m_tickets[id.ticket].records.push_back({.index = id.index, .state = held_state::running, .outcome = {}});
+    m_tickets[id.ticket].records.push_back({.index = id.index, .attempt = id.attempt, .state = held_state::running, .outcome = {}});
     ++m_records;
 }
 
@@ -89,7 +98,7 @@
     if (!hasReserve()) {
         return false;
     }
-    m_tickets[id.ticket].records.push_back({.index = id.index, .state = held_state::notStarted, .outcome = notStartedOutcome()});
+    m_tickets[id.ticket].records.push_back({.index = id.index, .attempt = id.attempt, .state = held_state::notStarted, .outcome = notStartedOutcome()});
     ++m_records;
     keepUntilExpiry(id, false, now);
     return true;
@@ -125,7 +134,7 @@
     if (found != m_tickets.end()) {
         all.reserve(found->second.records.size());
         for (const ledger_record &record : found->second.records) {
-            all.push_back({.id = {.ticket = ticket, .index = record.index}, .state = record.state, .outcome = record.outcome});
+            all.push_back({.id = {.ticket = ticket, .index = record.index, .attempt = record.attempt}, .state = record.state, .outcome = record.outcome});
         }
     }
     return all;
@@ -156,7 +165,7 @@
     if (entry.isFence) {
         ticket->second.isFenced = false;
         --m_records;
-    } else if (const auto found = std::ranges::find(records, entry.id.index, &ledger_record::index); found != records.end()) {
+    } else if (const auto found = findIn(records, entry.id); found != records.end()) {
         m_resultBytes -= found->outcome.body.size();
         *found = std::move(records.back());
         records.pop_back();
--- a/src/agent/ledger_record.h
+++ b/src/agent/ledger_record.h
@@ -11,6 +11,7 @@
 /** What the ledger keeps about one task of a ticket. */
 struct ledger_record {
     std::uint32_t index = 0; ///< Position of the task in its job.
+    std::uint32_t attempt = 0;
     held_state state = held_state::notStarted;
     task_outcome outcome; ///< Set if the state is finished; for a tombstone the reason why it was not started.
 };
--- /dev/null
+++ b/src/agent/running_task.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "agent/waiting_call.h"
+#include "core/task_resources.h"
+
+#include <vector>
+
+namespace teaselward
+{
+
+/** Task that runs on the endpoint. */
+struct running_task {
+    std::vector<waiting_call> calls; ///< Who waits for the outcome; the first one ordered the start.
+    task_resources needs;
+    bool restartable = false; ///< Stopped when its home is lost.
+    bool isStopping = false;
+};
+
+} // namespace teaselward
--- a/src/agent/session_table.h
+++ b/src/agent/session_table.h
@@ -4,7 +4,9 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace teaselward
 {
@@ -42,6 +44,23 @@
         return found == m_sessions.end() ? 0 : found->second;
     }
 
+    /** @return number of connected entries */
+    std::size_t size() const
+    {
+        return m_sessions.size();
+    }
+
+    /** @return all connected entries */
+    std::vector<entry_id> entries() const
+    {
+        std::vector<entry_id> all;
+        all.reserve(m_sessions.size());
+        for (const auto &[entry, session] : m_sessions) {
+            all.push_back(entry);
+        }
+        return all;
+    }
+
 private:
     absl::flat_hash_map<entry_id, std::uint64_t> m_sessions;
     std::uint64_t m_last = 0;
--- /dev/null
+++ b/src/agent/task_size_estimate.cpp
@@ -0,0 +1,36 @@
+#include "agent/task_size_estimate.h"
+
+#include <algorithm>
+
+namespace teaselward
+{
+
+namespace
+{
+
+constexpr double Step = 1.0 / 32; // Part of the newest sample: follows a change of the mix within a second of load.
+
+} // namespace
+
+task_size_estimate::task_size_estimate(const task_resources &capacity, std::uint32_t slots)
+    : m_capacity(capacity)
+    , m_slots(slots)
+{
+}
+
+void task_size_estimate::add(const task_resources &needs)
+{
+    if (needs.cpuMillis > 0) {
+        m_mean += (m_mean == 0 ? 1 : Step) * (needs.cpuMillis - m_mean);
+    }
+}
+
+std::uint32_t task_size_estimate::slots() const
+{
+    if (m_capacity.cpuMillis == 0 || m_mean == 0) {
+        return m_slots;
+    }
+    return std::max(1U, static_cast<std::uint32_t>(m_capacity.cpuMillis / m_mean));
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/agent/task_size_estimate.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/task_resources.h"
+
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** Estimates how many tasks an endpoint runs at once, from the processor time that the tasks ask for. */
+class task_size_estimate
+{
+public:
+    /**
+     * Creates an estimate without samples.
+     * @param capacity resources of the endpoint
+     * @param slots number of tasks until samples are known, and always if the capacity is zero
+     */
+    task_size_estimate(const task_resources &capacity, std::uint32_t slots);
+
+    /**
+     * Adds a sample.
+     * @param needs what an ordered task takes
+     */
+    void add(const task_resources &needs);
+
+    /** @return tasks of the mean size that fit into the endpoint; at least one */
+    std::uint32_t slots() const;
+
+private:
+    task_resources m_capacity;
+    std::uint32_t m_slots;
+    double m_mean = 0; ///< Thousandths of a core.
+};
+
+} // namespace teaselward
--- a/src/core/job_request.h
+++ b/src/core/job_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/task_resources.h"
 #include "core/ticket.h"
 
 #include <chrono>
@@ -17,6 +18,8 @@
     std::chrono::milliseconds timeLimit{}; ///< Time until the deadline, counted from the arrival at the home.
     std::vector<std::string> payloads; ///< One for each task.
     std::string key; ///< Identifier of the caller such as an order number; may be empty.
+    task_resources needs{}; ///< What each task takes of its endpoint; zero if the kind counts slots only.
+    std::chrono::milliseconds estimate{}; ///< Run time of a task as the caller declares it; zero if unknown.
 };
 
 } // namespace teaselward
--- a/src/core/kind_rule.h
+++ b/src/core/kind_rule.h
@@ -16,6 +16,9 @@
     std::chrono::milliseconds timeLimit = std::chrono::seconds(10); ///< Deadline of a job without one of its own.
     std::uint32_t queueLimit = 4096; ///< Tasks queued at one entry.
     std::uint32_t taskLimit = 210; ///< Tasks of one job.
+    bool placedByService = false; ///< Agents offer the service of the kind instead of the kind itself.
+    bool restartable = false; ///< A task that failed, or whose run has certainly ended, may be started again.
+    std::uint32_t attempts = 1; ///< Runs of a restartable task that may fail before its job fails.
 };
 
 } // namespace teaselward
--- a/src/core/reason.h
+++ b/src/core/reason.h
@@ -34,6 +34,7 @@
     versionMismatch, ///< The peer speaks another protocol version.
     unauthorized, ///< The bearer token is missing or wrong.
     ticketClosed, ///< An earlier submission of the ticket was refused as not run.
+    runStalled, ///< A run made no progress at its endpoint and was stopped.
 };
 
 } // namespace teaselward
--- a/src/core/reason_text.cpp
+++ b/src/core/reason_text.cpp
@@ -11,7 +11,7 @@
 {
 
 // Indexed by the value of the enumerator.
-constexpr std::array<std::string_view, 27> Texts = {
+constexpr std::array<std::string_view, 28> Texts = {
     "none",
     "malformed",
     "too_large",
@@ -39,6 +39,7 @@
     "version_mismatch",
     "unauthorized",
     "ticket_closed",
+    "run_stalled",
 };
 
 } // namespace
--- a/src/core/start_order.h
+++ b/src/core/start_order.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/task_id.h"
+#include "core/task_resources.h"
 
 #include <chrono>
 #include <cstdint>
@@ -17,6 +18,9 @@
     std::string payload;
     std::chrono::milliseconds timeLimit{}; ///< Time left until the deadline of the job.
     std::uint32_t demand = 0; ///< Tasks that the sending entry has queued.
+    std::string key{}; ///< Identifier of the job that the caller chose; may be empty.
+    task_resources needs{}; ///< Reserved at the endpoint while the task runs.
+    bool restartable = false; ///< The run is stopped when its home is lost.
 };
 
 } // namespace teaselward
--- a/src/core/task_text.cpp
+++ b/src/core/task_text.cpp
@@ -12,7 +12,8 @@
 
 std::string taskText(const task_id &task)
 {
-    return concat(ticketText(task.ticket), " task=", task.index);
+    std::string text = concat(ticketText(task.ticket), " task=", task.index);
+    return task.attempt == 0 ? text : concat(text, " attempt=", task.attempt);
 }
 
 } // namespace teaselward
--- a/src/core/task_verdict.h
+++ b/src/core/task_verdict.h
@@ -11,6 +11,7 @@
     failed, ///< The endpoint ran the task and reported failure.
     notStarted, ///< The task was not started there and never will be.
     unknown, ///< A start may have happened and its outcome is lost.
+    interrupted, ///< A run may have begun but has ended without a result; only a restartable task may start again.
 };
 
 } // namespace teaselward
--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -98,12 +98,12 @@
     }
     std::string().swap(exchange.request.body); // The payloads are held once while the job runs.
     job_submitted event;
-    event.job = {std::move(*source),
-                 std::move(request.team),
-                 std::move(request.kind),
-                 std::chrono::milliseconds(request.timeLimitMs),
-                 std::move(request.tasks),
-                 std::move(request.key)};
+    event.job.source = std::move(*source);
+    event.job.team = std::move(request.team);
+    event.job.kind = std::move(request.kind);
+    event.job.timeLimit = std::chrono::milliseconds(request.timeLimitMs);
+    event.job.payloads = std::move(request.tasks);
+    event.job.key = std::move(request.key);
     // An earlier submission of the same ticket may run, so a refusal here proves something only for the first one.
     return m_dispatcher.dispatch(exchange, std::move(event), unanswered(job_state::failed, reason::outcomeUnknown, false), request.firstAttempt);
 }
--- a/src/http/endpoint_client.cpp
+++ b/src/http/endpoint_client.cpp
@@ -186,6 +186,11 @@
     return false;
 }
 
+bool endpoint_client::post(stop_call && /*stop*/)
+{
+    return true;
+}
+
 void endpoint_client::stop()
 {
     d->calls.close();
--- a/src/http/endpoint_client.h
+++ b/src/http/endpoint_client.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "agent/action/call_endpoint.h"
 #include "agent/agent_event.h"
+#include "agent/endpoint_port.h"
 #include "base/bounded_ring.h"
 #include "http/endpoint_client_settings.h"
 #include "log/decision_log.h"
@@ -20,7 +20,7 @@
  * HTTP adapter of an agent towards its endpoint: POST /run/KIND with the payload as body. One thread runs all calls. A call
  * ends as not started only if no byte of the request was sent.
  */
-class endpoint_client
+class endpoint_client : public endpoint_port
 {
 public:
     /**
@@ -30,7 +30,7 @@
      * @param log receiver of the log lines; it must outlive the adapter
      */
     endpoint_client(const endpoint_client_settings &settings, bounded_ring<agent_event> &events, decision_log &log);
-    ~endpoint_client();
+    ~endpoint_client() override;
 
     endpoint_client(const endpoint_client &) = delete;
     endpoint_client &operator=(const endpoint_client &) = delete;
@@ -40,10 +40,17 @@
      * @param call the call; moved from only if it was taken
      * @return false if the ring is full or the adapter has stopped; then the task was not started
      */
-    bool post(call_endpoint &&call);
+    bool post(call_endpoint &&call) override;
+
+    /**
+     * Does nothing: the protocol of the endpoints has no message that ends a call, and its tasks are not restartable.
+     * @param stop the task
+     * @return true
+     */
+    bool post(stop_call &&stop) override;
 
     /** Waits for calls in progress and ends the thread. */
-    void stop();
+    void stop() override;
 
 private:
     std::unique_ptr<detail::endpoint_client_private> d;
--- a/src/http/reason_status.cpp
+++ b/src/http/reason_status.cpp
@@ -10,7 +10,7 @@
 {
 
 // Indexed by the value of the enumerator.
-constexpr std::array<unsigned, 27> Statuses = {
+constexpr std::array<unsigned, 28> Statuses = {
     200, // none
     400, // malformed
     413, // too_large
@@ -38,6 +38,7 @@
     502, // version_mismatch
     401, // unauthorized
     409, // ticket_closed
+    502, // run_stalled
 };
 
 } // namespace
--- a/src/job/entry_action.h
+++ b/src/job/entry_action.h
@@ -12,6 +12,7 @@
 #include "job/action/revoke_task.h"
 #include "job/action/send_demand.h"
 #include "job/action/start_task.h"
+#include "job/action/stop_task.h"
 
 #include <variant>
 
@@ -22,6 +23,7 @@
 using entry_action = std::variant<reply_tickets,
                                   reply_job,
                                   start_task,
+                                  stop_task,
                                   revoke_task,
                                   fence_ticket,
                                   forward_job,
--- a/src/job/entry_context.h
+++ b/src/job/entry_context.h
@@ -4,6 +4,7 @@
 #include "core/job_answer.h"
 #include "core/request_id.h"
 #include "core/rule_set.h"
+#include "core/task_id.h"
 #include "core/ticket_id.h"
 #include "job/entry_action.h"
 #include "job/entry_core_settings.h"
@@ -12,7 +13,11 @@
 #include "place/slot_table.h"
 #include "share/task_queue.h"
 
+#include <functional>
+#include <map>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -42,12 +47,25 @@
         actions->push_back(reply_job{.request = request, .ticket = ticket, .answer = std::move(answer)});
     }
 
+    /**
+     * Tells what agents offer that can run a kind. A kind that the rules no longer name keeps what it had, for the tasks that
+     * are still queued.
+     * @param kind the kind
+     */
+    std::string_view offerOf(std::string_view kind) const
+    {
+        const auto found = services.find(kind);
+        return found != services.end() ? std::string_view(found->second) : kind;
+    }
+
     entry_core_settings settings;
     mono_time start; ///< Tickets state their issue time relative to it.
     decision_log &log;
     task_queue queue;
     slot_table slots;
     std::shared_ptr<const rule_set> rules; ///< Null until the first configuration is applied.
+    std::map<std::string, std::string, std::less<>> services; ///< Service of each kind that is placed by its service.
+    std::vector<task_id> unwanted; ///< Placed tasks of restartable jobs that were answered; their runs are to be stopped.
     job_random random;
     bool isDraining = false;
     mono_time now; ///< Time of the event in progress.
--- a/src/job/entry_core_events.cpp
+++ b/src/job/entry_core_events.cpp
@@ -29,6 +29,18 @@
     }
 }
 
+void entry_core_private::onKeyedJobSubmitted(const keyed_job_submitted &event)
+{
+    job_request job = event.job;
+    job.source = m_tickets.issue(1, m_context.now).front();
+    m_jobs.submit(event.request, std::move(job));
+}
+
+void entry_core_private::onRequestAbandoned(const request_abandoned &event)
+{
+    m_jobs.abandon(event.request);
+}
+
 void entry_core_private::onJobQueried(const job_queried &event)
 {
     if (m_tickets.isHome(event.source)) {
@@ -128,6 +140,11 @@
         return;
     }
     m_context.rules = event.rules;
+    for (const auto &[name, rule] : event.rules->kinds) {
+        if (rule.placedByService) {
+            m_context.services[name] = rule.service;
+        }
+    }
     m_context.queue.setRules(event.rules);
 }
 
--- a/src/job/entry_core_private.cpp
+++ b/src/job/entry_core_private.cpp
@@ -48,6 +48,8 @@
     static constexpr std::array<handler, std::variant_size_v<entry_event>> handlers = {
         &core::call<&core::onTicketRequested, ticket_requested>,
         &core::call<&core::onJobSubmitted, job_submitted>,
+        &core::call<&core::onKeyedJobSubmitted, keyed_job_submitted>,
+        &core::call<&core::onRequestAbandoned, request_abandoned>,
         &core::call<&core::onJobQueried, job_queried>,
         &core::call<&core::onJobCancelled, job_cancelled>,
         &core::call<&core::onAgentJoined, agent_joined>,
@@ -72,6 +74,7 @@
     m_context.now = now;
     runTimers();
     (this->*handlers.at(event.index()))(event);
+    m_placer.stopUnwanted();
     const std::size_t placed = m_placer.placeAll();
     m_demand.update(placed, m_agents);
     finishDrainIfIdle();
--- a/src/job/entry_core_private.h
+++ b/src/job/entry_core_private.h
@@ -38,6 +38,8 @@
 
     void onTicketRequested(const ticket_requested &event);
     void onJobSubmitted(const job_submitted &event);
+    void onKeyedJobSubmitted(const keyed_job_submitted &event);
+    void onRequestAbandoned(const request_abandoned &event);
     void onJobQueried(const job_queried &event);
     void onJobCancelled(const job_cancelled &event);
     void onAgentJoined(const agent_joined &event);
--- a/src/job/entry_core_settings.h
+++ b/src/job/entry_core_settings.h
@@ -15,6 +15,7 @@
     std::chrono::milliseconds ticketLifetime = std::chrono::minutes(10);
     std::chrono::milliseconds sessionLease = std::chrono::seconds(2); ///< A decision thread paused for longer revokes before it places again.
     std::chrono::milliseconds revokeRetry = std::chrono::milliseconds(100); ///< First delay between two revocations of one task.
+    std::chrono::milliseconds lostRunBound = std::chrono::milliseconds(1300); ///< A run at a lost agent has certainly ended after this time.
     std::chrono::milliseconds reportInterval = std::chrono::seconds(1); ///< Between two reports of the team quotas.
     std::uint32_t ticketBatch = 1000; ///< Most tickets of one request.
     std::string strategy = "credits"; ///< Name in the table of placement strategies.
--- a/src/job/entry_event.h
+++ b/src/job/entry_event.h
@@ -9,9 +9,11 @@
 #include "job/event/job_cancelled.h"
 #include "job/event/job_queried.h"
 #include "job/event/job_submitted.h"
+#include "job/event/keyed_job_submitted.h"
 #include "job/event/peer_joined.h"
 #include "job/event/peer_lost.h"
 #include "job/event/peer_reported.h"
+#include "job/event/request_abandoned.h"
 #include "job/event/rules_applied.h"
 #include "job/event/start_unanswered.h"
 #include "job/event/status_requested.h"
@@ -29,6 +31,8 @@
 /** Everything that can change the state of an entry. */
 using entry_event = std::variant<ticket_requested,
                                  job_submitted,
+                                 keyed_job_submitted,
+                                 request_abandoned,
                                  job_queried,
                                  job_cancelled,
                                  agent_joined,
--- a/src/job/job_admission.cpp
+++ b/src/job/job_admission.cpp
@@ -28,7 +28,9 @@
                                    " tasks=",
                                    job.payloads.size(),
                                    " reason=",
-                                   reasonText(refused ? refused->why : reason::none)));
+                                   reasonText(refused ? refused->why : reason::none),
+                                   " job=",
+                                   job.key));
     }
     return refused;
 }
@@ -49,7 +51,7 @@
     if (!m_table.makeRoom(m_context.now)) {
         return refusal(reason::overloaded, RoomRetry);
     }
-    const std::size_t slots = m_context.slots.slots(job.kind);
+    const std::size_t slots = m_context.slots.slots(m_context.offerOf(job.kind));
     if (slots == 0) {
         return refusal(reason::noEndpoint, RoomRetry);
     }
--- a/src/job/job_manager.cpp
+++ b/src/job/job_manager.cpp
@@ -108,10 +108,14 @@
     created->unfinished = job.payloads.size();
     created->queued = job.payloads.size();
     created->bytes = sizeof(job_record);
+    created->key = job.key;
+    created->needs = job.needs;
+    created->restartable = rule.restartable;
+    created->attempts = rule.attempts;
     created->tasks.reserve(job.payloads.size());
     for (std::string &payload : job.payloads) {
         created->bytes += sizeof(task_record) + payload.size();
-        created->tasks.push_back({.state = task_state::queued, .placements = 0, .payload = std::move(payload), .result = {}});
+        created->tasks.push_back({.state = task_state::queued, .placements = 0, .failures = 0, .payload = std::move(payload), .result = {}});
     }
     m_table.keys().add(job.team, job.kind, job.key, sequence);
     job_record &record = m_table.add(std::move(created));
@@ -148,6 +152,15 @@
     fail(*job, reason::cancelled);
 }
 
+// A job that starts at most once goes on, since its caller may ask for the answer later.
+void job_manager::abandon(const request_id &request)
+{
+    job_record *job = m_table.findWaitedBy(request);
+    if (job != nullptr && job->restartable && job->waiters.size() == 1) {
+        fail(*job, reason::cancelled);
+    }
+}
+
 job_record *job_manager::findRunning(const ticket_id &id)
 {
     return id.incarnation == m_context.settings.self.id.value ? m_table.findRunning(id.sequence) : nullptr;
@@ -183,10 +196,21 @@
     job_answer answer;
     answer.state = job_state::failed;
     answer.why = why;
-    answer.notRun = job.started == 0;
+    answer.notRun = job.started == 0 && !job.hasRun;
     settle(job, answer);
 }
 
+// Notes the runs that go on although the job is answered.
+void job_manager::collectUnwanted(const job_record &job, const ticket_id &id)
+{
+    for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+        const task_record &task = job.tasks[index];
+        if (task.state == task_state::placed) {
+            m_context.unwanted.push_back({.ticket = id, .index = index, .attempt = task.placements});
+        }
+    }
+}
+
 // Answers everyone who waits for the job and keeps the answer. The job is gone afterwards.
 void job_manager::settle(job_record &job, const job_answer &answer)
 {
@@ -205,6 +229,9 @@
     if (job.queued > 0) {
         m_context.queue.removeJob(id);
     }
+    if (job.restartable) {
+        collectUnwanted(job, id);
+    }
     if (answer.notRun) {
         // Nothing ran under the client key, so a new ticket may use it for another attempt.
         m_table.keys().remove(sequence);
--- a/src/job/job_manager.h
+++ b/src/job/job_manager.h
@@ -55,6 +55,12 @@
      */
     void cancel(const request_id &request, const ticket &source);
 
+    /**
+     * Drops a restartable job for whose answer nobody waits any more.
+     * @param request request whose caller has closed its connection
+     */
+    void abandon(const request_id &request);
+
     /**
      * Finds a running job.
      * @param id its ticket
@@ -94,6 +100,7 @@
     bool joinByKey(const request_id &request, const job_request &job, const request_digest &digest);
     void create(const request_id &request, job_request job, const request_digest &digest);
     job_record *findRunningOrJoined(std::uint64_t sequence);
+    void collectUnwanted(const job_record &job, const ticket_id &id);
     void settle(job_record &job, const job_answer &answer);
     void failOverdue();
 
--- a/src/job/job_record.h
+++ b/src/job/job_record.h
@@ -27,6 +27,11 @@
     std::vector<job_waiter> waiters;
     std::vector<std::uint64_t> joined; ///< Sequences of the tickets that a client key joined to this job.
     std::size_t bytes = 0; ///< Size of the payloads.
+    std::string key; ///< Identifier of the caller; may be empty.
+    task_resources needs; ///< What each task takes of its endpoint.
+    bool restartable = false; ///< Tasks may be started again.
+    std::uint32_t attempts = 1; ///< Failed runs of a restartable task after which the job fails.
+    bool hasRun = false; ///< A task was started and ended without a result; the answer can no longer say "not run".
 };
 
 } // namespace teaselward
--- a/src/job/job_table.cpp
+++ b/src/job/job_table.cpp
@@ -55,6 +55,18 @@
     return found == m_running.end() ? nullptr : found->second.get();
 }
 
+job_record *job_table::findWaitedBy(const request_id &request)
+{
+    for (const auto &[sequence, job] : m_running) {
+        if (std::ranges::any_of(job->waiters, [&request](const job_waiter &waiter) {
+                return waiter.request == request;
+            })) {
+            return job.get();
+        }
+    }
+    return nullptr;
+}
+
 const kept_job *job_table::findKept(std::uint64_t sequence) const
 {
     const auto found = m_kept.find(sequence);
--- a/src/job/job_table.h
+++ b/src/job/job_table.h
@@ -66,6 +66,13 @@
      */
     job_record *findRunning(std::uint64_t sequence);
 
+    /**
+     * Finds the running job for which a request waits. The running jobs are searched one by one; callers seldom leave.
+     * @param request the request
+     * @return the job, or null
+     */
+    job_record *findWaitedBy(const request_id &request);
+
     /**
      * Finds an answered job.
      * @param sequence sequence of its ticket or of a joined one
--- a/src/job/placement.h
+++ b/src/job/placement.h
@@ -17,6 +17,7 @@
     queued_task task;
     agent_id agent;
     placement_state state = placement_state::sent;
+    std::optional<mono_time> lostAt; ///< Loss of the connection to the agent, until it registers again.
     std::optional<backoff> delays; ///< Set once the outcome is asked for.
     std::optional<timer_queue<task_id>::handle> timer; ///< Next time that the outcome is asked for.
 };
--- a/src/job/task_placer.cpp
+++ b/src/job/task_placer.cpp
@@ -22,7 +22,7 @@
     , m_jobs(jobs)
     , m_returned(context, jobs)
     , m_placeable([this](std::string_view kind) {
-        return m_context.slots.isPlaceable(kind, m_context.now);
+        return m_context.slots.isPlaceable(m_context.offerOf(kind), m_context.now);
     })
 {
 }
@@ -40,7 +40,7 @@
             m_context.queue.finish(*task, {.verdict = task_verdict::notStarted, .why = reason::none, .body = {}, .runTime = {}}, m_context.now);
             continue;
         }
-        const std::optional<agent_id> agent = m_context.slots.acquire(task->kind, m_context.now);
+        const std::optional<agent_id> agent = m_context.slots.acquire(m_context.offerOf(task->kind), m_context.now);
         if (!agent) {
             m_context.queue.putBack(*std::move(task));
             break;
@@ -57,6 +57,7 @@
     task_record &record = job.tasks.at(task.id.index);
     record.state = task_state::placed;
     ++record.placements;
+    task.id.attempt = job.restartable ? record.placements : 0;
     --job.queued;
     ++job.started;
     if (m_context.log.isEnabled()) {
@@ -69,7 +70,11 @@
     action.order.payload = record.payload;
     action.order.timeLimit = std::chrono::ceil<std::chrono::milliseconds>(job.deadline - m_context.now);
     action.order.demand = static_cast<std::uint32_t>(m_context.queue.size());
-    m_placements.add({.task = std::move(task), .agent = agent, .state = placement_state::sent, .delays = std::nullopt, .timer = std::nullopt});
+    action.order.key = job.key;
+    action.order.needs = job.needs;
+    action.order.restartable = job.restartable;
+    m_placements.add(
+        {.task = std::move(task), .agent = agent, .state = placement_state::sent, .lostAt = std::nullopt, .delays = std::nullopt, .timer = std::nullopt});
     m_context.actions->push_back(std::move(action));
 }
 
@@ -102,6 +107,11 @@
         m_returned.add(std::move(placed.task), outcome, *job);
         return;
     }
+    if (job != nullptr && job->restartable && mayRestart(outcome, job->tasks.at(id.index), *job)) {
+        job->hasRun = true;
+        m_returned.add(std::move(placed.task), outcome, *job);
+        return;
+    }
     m_context.queue.finish(placed.task, outcome, m_context.now);
     if (job == nullptr) {
         return;
@@ -114,6 +124,25 @@
     }
 }
 
+// Tells whether a restartable task is placed again after its run has ended without a result.
+bool task_placer::mayRestart(const task_outcome &outcome, task_record &record, const job_record &job) const
+{
+    if (outcome.verdict == task_verdict::failed) {
+        return ++record.failures < job.attempts;
+    }
+    return outcome.verdict == task_verdict::interrupted || outcome.verdict == task_verdict::unknown;
+}
+
+void task_placer::stopUnwanted()
+{
+    for (const task_id &id : m_context.unwanted) {
+        if (const placement *placed = m_placements.find(id); placed != nullptr) {
+            m_context.actions->push_back(stop_task{.agent = placed->agent, .id = id});
+        }
+    }
+    m_context.unwanted.clear();
+}
+
 void task_placer::unanswered(const agent_id &agent, const task_id &id)
 {
     placement *placed = m_placements.find(id);
@@ -153,11 +182,20 @@
         conclude(id, unknownOutcome(), 0);
         return;
     }
+    if (placed->lostAt && m_context.now >= *placed->lostAt + m_context.settings.lostRunBound && m_jobs.findRunning(id.ticket)->restartable) {
+        conclude(id, {.verdict = task_verdict::interrupted, .why = reason::outcomeUnknown, .body = {}, .runTime = {}}, 0);
+        return;
+    }
     if (m_context.log.isEnabled()) {
         m_context.log.write(log_part::place, concat("Revoked a start. ", taskText(id), " agent=", placed->agent.value));
     }
     m_context.actions->push_back(revoke_task{.agent = placed->agent, .id = id, .delay = {}});
-    askAfter(*placed, placed->delays->next(m_context.random));
+    auto delay = placed->delays->next(m_context.random);
+    if (placed->lostAt) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(*placed->lostAt + m_context.settings.lostRunBound - m_context.now);
+        delay = left.count() > 0 ? std::min(delay, left) : delay;
+    }
+    askAfter(*placed, delay);
 }
 
 void task_placer::revoked(const agent_id &agent, held_task held)
@@ -195,13 +233,18 @@
             makeAmbiguous(placed);
             askAfter(placed, placed.delays->next(m_context.random));
         }
+        if (!placed.lostAt) {
+            placed.lostAt = m_context.now;
+        }
     }
 }
 
 void task_placer::connectionRestored(const agent_id &agent)
 {
     for (const task_id &id : m_placements.tasksAt(agent)) {
-        makeAmbiguous(*m_placements.find(id));
+        placement &placed = *m_placements.find(id);
+        placed.lostAt.reset();
+        makeAmbiguous(placed);
         ask(id);
     }
 }
--- a/src/job/task_placer.h
+++ b/src/job/task_placer.h
@@ -82,6 +82,9 @@
      */
     void incarnationGone(const agent_id &agent);
 
+    /** Stops the runs of the restartable jobs that were answered since the last call. */
+    void stopUnwanted();
+
     /** Revokes all starts, since this entry was paused for longer than the sessions last. */
     void sessionsLapsed();
 
@@ -97,6 +100,7 @@
 private:
     void start(queued_task task, const agent_id &agent, job_record &job);
     void conclude(const task_id &id, task_outcome outcome, std::int32_t credits);
+    bool mayRestart(const task_outcome &outcome, task_record &record, const job_record &job) const;
     void makeAmbiguous(placement &placed);
     void askAfter(placement &placed, std::chrono::milliseconds delay);
     void ask(const task_id &id);
--- a/src/job/task_record.h
+++ b/src/job/task_record.h
@@ -12,6 +12,7 @@
 struct task_record {
     task_state state = task_state::queued;
     std::uint32_t placements = 0; ///< Times that the task was sent to an agent.
+    std::uint32_t failures = 0; ///< Runs that failed.
     std::string payload; ///< Released once the task cannot be placed again.
     std::string result; ///< Set if the task succeeded.
 };
--- a/src/place/credit_allocator.cpp
+++ b/src/place/credit_allocator.cpp
@@ -154,6 +154,17 @@
     return true;
 }
 
+bool credit_allocator::spend(const entry_id &entry)
+{
+    --d->findOrAdd(entry).granted;
+    return false;
+}
+
+void credit_allocator::resize(std::uint32_t slots)
+{
+    d->totals.slots = slots;
+}
+
 bool credit_allocator::hold(const entry_id &entry)
 {
     if (d->closed || d->totals.held >= HeldPerSlot * d->totals.slots) {
@@ -165,13 +176,20 @@
 }
 
 std::optional<entry_id> credit_allocator::takeHeld()
+{
+    return takeHeld([](const entry_id & /*entry*/) {
+        return true;
+    });
+}
+
+std::optional<entry_id> credit_allocator::takeHeld(const std::function<bool(const entry_id &)> &canRun)
 {
     if (d->closed || d->totals.running >= d->totals.slots) {
         return std::nullopt;
     }
     detail::credit_allocator_private::member *chosen = nullptr;
     for (auto &item : d->members) {
-        if (item.account.held > 0 && (chosen == nullptr || item.account.running < chosen->account.running)) {
+        if (item.account.held > 0 && (chosen == nullptr || item.account.running < chosen->account.running) && canRun(item.entry)) {
             chosen = &item;
         }
     }
--- a/src/place/credit_allocator.h
+++ b/src/place/credit_allocator.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -80,6 +81,19 @@
      */
     bool take(const entry_id &entry);
 
+    /**
+     * Uses one credit of an entry for a start that does not fit into the endpoint although a slot may be free.
+     * @param entry the entry
+     * @return false, as take() without a slot
+     */
+    bool spend(const entry_id &entry);
+
+    /**
+     * Changes the number of slots. Grants follow as tasks end.
+     * @param slots tasks that the endpoint runs at once
+     */
+    void resize(std::uint32_t slots);
+
     /**
      * Holds a start for which take() found no slot, until one is free.
      * @param entry the entry
@@ -89,8 +103,12 @@
 
     /**
      * Gives a free slot to a held start, first to the entry with the fewest running tasks.
-     * @return the entry whose oldest held start is to run now, or nothing if no slot is free or no start is held
+     * @param canRun tells whether a held start of an entry fits into the endpoint
+     * @return the entry whose oldest fitting start is to run now, or nothing if no slot is free or no start fits
      */
+    std::optional<entry_id> takeHeld(const std::function<bool(const entry_id &)> &canRun);
+
+    /** As above, for an endpoint that counts slots only. */
     std::optional<entry_id> takeHeld();
 
     /**
--- a/src/place/health_monitor.cpp
+++ b/src/place/health_monitor.cpp
@@ -44,6 +44,13 @@
             recordSaturation(endpoint, now);
         }
         break;
+    case task_verdict::interrupted:
+        // A stopped run says nothing, unless the endpoint itself stood still.
+        if (outcome.why == reason::runStalled) {
+            recordRun(endpoint, kindIndex, kind, true, now);
+            break;
+        }
+        [[fallthrough]];
     case task_verdict::unknown:
         if (endpoint.probing) {
             endpoint.probing = false;
--- a/src/proc/agent_parts.cpp
+++ b/src/proc/agent_parts.cpp
@@ -19,7 +19,10 @@
 
 agent_core_settings agentCoreSettings(const agent_settings &settings, const agent_info &self)
 {
-    return agent_core_settings{self, settings.retention};
+    agent_core_settings result;
+    result.self = self;
+    result.retention = settings.retention;
+    return result;
 }
 
 endpoint_client_settings endpointClientSettings(const agent_settings &settings)
--- a/src/proc/agent_process.cpp
+++ b/src/proc/agent_process.cpp
@@ -27,17 +27,20 @@
 public:
     using loop = duty_loop<agent_core, agent_event, agent_action>;
 
-    agent_process_private(const agent_settings &given, const agent_info &self, decision_log &log)
+    agent_process_private(const agent_settings &given,
+                          const agent_core_settings &coreSettings,
+                          const agent_process::endpoint_factory &makeEndpoint,
+                          decision_log &log)
         : settings(given)
-        , core(agentCoreSettings(given, self), log)
-        , endpoint(endpointClientSettings(given), events, log)
-        , rpc(agentRpcSettings(given, self), events, log)
+        , core(coreSettings, log)
+        , endpoint(makeEndpoint(events))
+        , rpc(agentRpcSettings(given, coreSettings.self), events, log)
     {
     }
 
     ~agent_process_private()
     {
-        endpoint.stop();
+        endpoint->stop();
         rpc.stop();
         timer.stop();
         events.close();
@@ -49,6 +52,8 @@
     {
         if constexpr (std::is_same_v<Action, call_endpoint>) {
             return &agent_process_private::toEndpoint;
+        } else if constexpr (std::is_same_v<Action, stop_call>) {
+            return &agent_process_private::toStopCall;
         } else if constexpr (std::is_same_v<Action, finish_agent_drain>) {
             return &agent_process_private::toStop;
         } else {
@@ -58,7 +63,12 @@
 
     bool toEndpoint(agent_action &action)
     {
-        return endpoint.post(std::move(std::get<call_endpoint>(action)));
+        return endpoint->post(std::move(std::get<call_endpoint>(action)));
+    }
+
+    bool toStopCall(agent_action &action)
+    {
+        return endpoint->post(std::move(std::get<stop_call>(action)));
     }
 
     bool toRpc(agent_action &action)
@@ -84,7 +94,7 @@
     due_timer timer{[this] {
         events.push(agent_timer_fired{});
     }};
-    endpoint_client endpoint;
+    std::unique_ptr<endpoint_port> endpoint;
     agent_rpc rpc;
     duty_thread decision{"decision", [this] {
                              loop(core, events, timer, [this](agent_action &action) {
@@ -96,7 +106,18 @@
 } // namespace detail
 
 agent_process::agent_process(const agent_settings &settings, decision_log &log)
-    : d(std::make_unique<detail::agent_process_private>(settings, agentInfo(settings), log))
+    : agent_process(
+        settings,
+        agentCoreSettings(settings, agentInfo(settings)),
+        [&settings, &log](bounded_ring<agent_event> &events) {
+            return std::make_unique<endpoint_client>(endpointClientSettings(settings), events, log);
+        },
+        log)
+{
+}
+
+agent_process::agent_process(const agent_settings &settings, const agent_core_settings &core, const endpoint_factory &makeEndpoint, decision_log &log)
+    : d(std::make_unique<detail::agent_process_private>(settings, core, makeEndpoint, log))
 {
 }
 
@@ -104,7 +125,12 @@
 
 void agent_process::requestStop()
 {
-    d->events.push(agent_drain_started{d->settings.drainBound});
+    requestStop(d->settings.drainBound);
+}
+
+void agent_process::requestStop(std::chrono::milliseconds bound)
+{
+    d->events.push(agent_drain_started{bound});
 }
 
 void agent_process::waitForStop()
--- a/src/proc/agent_process.h
+++ b/src/proc/agent_process.h
@@ -1,8 +1,14 @@
 #pragma once
 
+#include "agent/agent_core_settings.h"
+#include "agent/agent_event.h"
+#include "agent/endpoint_port.h"
+#include "base/bounded_ring.h"
 #include "log/decision_log.h"
 #include "settings/agent_settings.h"
 
+#include <chrono>
+#include <functional>
 #include <memory>
 
 namespace teaselward
@@ -17,12 +23,24 @@
 class agent_process
 {
 public:
+    /** Makes the adapter of the endpoint, which reports to the given ring. */
+    using endpoint_factory = std::function<std::unique_ptr<endpoint_port>(bounded_ring<agent_event> &events)>;
+
     /**
      * Starts all threads.
      * @param settings checked settings
      * @param log receiver of the log lines; it must outlive the process
      */
     agent_process(const agent_settings &settings, decision_log &log);
+
+    /**
+     * Starts all threads for another kind of endpoint.
+     * @param settings checked settings
+     * @param core what the decisions are told, the announcement of the agent included
+     * @param makeEndpoint makes the adapter of the endpoint
+     * @param log receiver of the log lines; it must outlive the process
+     */
+    agent_process(const agent_settings &settings, const agent_core_settings &core, const endpoint_factory &makeEndpoint, decision_log &log);
     ~agent_process();
 
     agent_process(const agent_process &) = delete;
@@ -31,6 +49,12 @@
     /** Begins the graceful shutdown. May be called from any thread and more than once. */
     void requestStop();
 
+    /**
+     * As above with another bound.
+     * @param bound longest time until the shutdown has ended
+     */
+    void requestStop(std::chrono::milliseconds bound);
+
     /** Blocks until the graceful shutdown has ended. */
     void waitForStop();
 
--- a/src/rpc/agent_loop.cpp
+++ b/src/rpc/agent_loop.cpp
@@ -39,6 +39,7 @@
     void answerRevoke(agent_action &&action);
     void answerFence(agent_action &&action);
     void grantCredits(agent_action &&action);
+    void endSessions(agent_action &&action);
     void announceLeaving(agent_action &&action);
     void refuse(agent_action &&action);
 
@@ -66,6 +67,7 @@
                                                                                                  .set<answer_revoke>(&agent_loop_private::answerRevoke)
                                                                                                  .set<answer_fence>(&agent_loop_private::answerFence)
                                                                                                  .set<grant_credits>(&agent_loop_private::grantCredits)
+                                                                                                 .set<end_sessions>(&agent_loop_private::endSessions)
                                                                                                  .set<announce_leaving>(&agent_loop_private::announceLeaving);
 
 agent_loop_private::agent_loop_private(const agent_rpc_settings &settings,
@@ -176,6 +178,18 @@
     }
 }
 
+// The sessions are looked up first, since closing one changes the table.
+void agent_loop_private::endSessions(agent_action && /*action*/)
+{
+    std::vector<std::uint64_t> links;
+    for (const auto &[id, session] : m_sessions) {
+        links.push_back(session->link());
+    }
+    for (const std::uint64_t link : links) {
+        m_links.close(link, "the agent was paused");
+    }
+}
+
 // Later registrations carry the flag.
 void agent_loop_private::announceLeaving(agent_action && /*action*/)
 {
--- a/src/rpc/agent_port.cpp
+++ b/src/rpc/agent_port.cpp
@@ -153,6 +153,15 @@
     });
 }
 
+kj::Promise<void> agent_port::stop(StopContext call)
+{
+    const task_id id = decode(call.getParams().getId());
+    return afterJoin([this, id]() -> kj::Promise<void> {
+        m_context.events.push(stop_received{from(), id});
+        return kj::READY_NOW;
+    });
+}
+
 kj::Promise<void> agent_port::entries(EntriesContext call)
 {
     for (const std::string &address : decodeTexts(call.getParams().getAddresses())) {
--- a/src/rpc/agent_port.h
+++ b/src/rpc/agent_port.h
@@ -26,6 +26,7 @@
     kj::Promise<void> revoke(RevokeContext call) override;
     kj::Promise<void> fence(FenceContext call) override;
     kj::Promise<void> demand(DemandContext call) override;
+    kj::Promise<void> stop(StopContext call) override;
     kj::Promise<void> entries(EntriesContext call) override;
 
 private:
--- a/src/rpc/agent_session.cpp
+++ b/src/rpc/agent_session.cpp
@@ -73,6 +73,13 @@
     }));
 }
 
+void agent_session::stop(const task_id &id)
+{
+    auto request = m_port.stopRequest();
+    encode(id, request.initId());
+    m_calls.add(request.send().ignoreResult());
+}
+
 void agent_session::failStart(std::uint64_t number)
 {
     const auto found = m_startsInCall.find(number);
--- a/src/rpc/agent_session.h
+++ b/src/rpc/agent_session.h
@@ -44,6 +44,9 @@
     /** Raises task_revoked, or nothing if the call ends without an answer; the decisions ask again. @param id the task */
     void revoke(const task_id &id);
 
+    /** Asks the agent to end a run; the answer to its start tells when it has ended. @param id the task */
+    void stop(const task_id &id);
+
     /** Raises ticket_fenced. @param ticket the ticket */
     void fence(const ticket_id &ticket);
 
--- a/src/rpc/entry_dispatcher.cpp
+++ b/src/rpc/entry_dispatcher.cpp
@@ -17,6 +17,7 @@
 const action_table<entry_action, entry_dispatcher::handler> entry_dispatcher::Handlers = action_table<entry_action, handler>(&entry_dispatcher::refuse)
                                                                                              .set<start_task>(&entry_dispatcher::startTask)
                                                                                              .set<revoke_task>(&entry_dispatcher::revokeTask)
+                                                                                             .set<stop_task>(&entry_dispatcher::stopTask)
                                                                                              .set<fence_ticket>(&entry_dispatcher::fenceTicket)
                                                                                              .set<forward_job>(&entry_dispatcher::forward)
                                                                                              .set<forward_query>(&entry_dispatcher::forward)
@@ -83,6 +84,15 @@
     }
 }
 
+// Without a session there is nothing to send: the agent stops the run by itself when it loses the home.
+void entry_dispatcher::stopTask(entry_action &&action)
+{
+    const auto &stop = std::get<stop_task>(action);
+    if (agent_session *session = findAgent(stop.agent)) {
+        session->stop(stop.id);
+    }
+}
+
 void entry_dispatcher::fenceTicket(entry_action &&action)
 {
     const auto &fence = std::get<fence_ticket>(action);
--- a/src/rpc/entry_dispatcher.h
+++ b/src/rpc/entry_dispatcher.h
@@ -26,6 +26,7 @@
 
     void startTask(entry_action &&action);
     void revokeTask(entry_action &&action);
+    void stopTask(entry_action &&action);
     void fenceTicket(entry_action &&action);
     void forward(entry_action &&action);
     void sendDemand(entry_action &&action);
--- a/src/rpc/job_codec.cpp
+++ b/src/rpc/job_codec.cpp
@@ -42,7 +42,7 @@
 {
     job_answer value;
     value.state = plainEnum(in.getState(), job_state::failed);
-    value.why = plainEnum(in.getWhy(), reason::ticketClosed);
+    value.why = plainEnum(in.getWhy(), reason::runStalled);
     value.notRun = in.getNotRun();
     value.results = decodeData(in.getResults());
     value.retryAfter = plainDuration<std::chrono::milliseconds>(in.getRetryAfterMs());
--- a/src/rpc/rpc_limits.h
+++ b/src/rpc/rpc_limits.h
@@ -8,7 +8,7 @@
 {
 
 /** Version of the messages in wire.capnp. Peers with another version are refused. */
-constexpr std::uint32_t ProtocolVersion = 1;
+constexpr std::uint32_t ProtocolVersion = 2;
 
 /**
  * Longest message that is read, in words of eight bytes (16 MiB). It also is the traversal limit of the reader, so that a
--- a/src/rpc/task_codec.cpp
+++ b/src/rpc/task_codec.cpp
@@ -17,8 +17,8 @@
 task_outcome decode(wire::TaskOutcome::Reader in)
 {
     task_outcome value;
-    value.verdict = plainEnum(in.getVerdict(), task_verdict::unknown);
-    value.why = plainEnum(in.getWhy(), reason::ticketClosed);
+    value.verdict = plainEnum(in.getVerdict(), task_verdict::interrupted);
+    value.why = plainEnum(in.getWhy(), reason::runStalled);
     value.body = plainData(in.getBody());
     value.runTime = plainDuration<std::chrono::microseconds>(in.getRunTimeUs());
     return value;
@@ -44,6 +44,11 @@
     out.setPayload(wireData(value.payload));
     out.setTimeLimitMs(value.timeLimit.count());
     out.setDemand(value.demand);
+    out.setKey(wireText(value.key));
+    out.setCpuMillis(value.needs.cpuMillis);
+    out.setMemoryMb(value.needs.memoryMb);
+    out.setGpus(value.needs.gpus);
+    out.setRestartable(value.restartable);
 }
 
 start_order decode(wire::StartOrder::Reader in)
@@ -55,6 +60,9 @@
     value.payload = plainData(in.getPayload());
     value.timeLimit = plainDuration<std::chrono::milliseconds>(in.getTimeLimitMs());
     value.demand = in.getDemand();
+    value.key = plainText(in.getKey());
+    value.needs = {.cpuMillis = in.getCpuMillis(), .memoryMb = in.getMemoryMb(), .gpus = in.getGpus()};
+    value.restartable = in.getRestartable();
     return value;
 }
 
--- a/src/rpc/ticket_codec.cpp
+++ b/src/rpc/ticket_codec.cpp
@@ -32,11 +32,12 @@
 {
     encode(value.ticket, out.initTicket());
     out.setIndex(value.index);
+    out.setAttempt(value.attempt);
 }
 
 task_id decode(wire::TaskId::Reader in)
 {
-    return {decode(in.getTicket()), in.getIndex()};
+    return {decode(in.getTicket()), in.getIndex(), in.getAttempt()};
 }
 
 } // namespace teaselward
--- a/src/rpc/wire.capnp
+++ b/src/rpc/wire.capnp
@@ -19,6 +19,7 @@
 struct TaskId {
   ticket @0 :TicketId;
   index @1 :UInt32;
+  attempt @2 :UInt32;
 }
 
 struct TaskOutcome {
@@ -41,6 +42,11 @@
   payload @3 :Data;
   timeLimitMs @4 :Int64;
   demand @5 :UInt32;
+  key @6 :Text;
+  cpuMillis @7 :UInt32;
+  memoryMb @8 :UInt32;
+  gpus @9 :UInt32;
+  restartable @10 :Bool;
 }
 
 struct AgentInfo {
@@ -116,6 +122,7 @@
   fence @3 (ticket :TicketId) -> (held :List(HeldTask));
   demand @4 (queued :UInt32);
   entries @5 (addresses :List(Text));
+  stop @6 (id :TaskId);
 }
 
 interface AgentSession {
--- a/src/rpc/wire.capnp.c++
+++ b/src/rpc/wire.capnp.c++
@@ -142,7 +142,7 @@
   1, 3, i_e395715f61138016, nullptr, nullptr, { &s_e395715f61138016, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<47> b_c89151895dd955a1 = {
+static const ::capnp::_::AlignedData<62> b_c89151895dd955a1 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     161,  85, 217,  93, 137,  81, 145, 200,
      11,   0,   0,   0,   1,   0,   1,   0,
@@ -152,28 +152,35 @@
      21,   0,   0,   0, 146,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 119,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     119, 105, 114, 101,  46,  99,  97, 112,
     110, 112,  58,  84,  97, 115, 107,  73,
     100,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  58,   0,   0,   0,
+     69,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  50,   0,   0,   0,
+     73,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
     116, 105,  99, 107, 101, 116,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
      43, 225, 102, 242,   2, 180, 139, 144,
@@ -183,6 +190,14 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     105, 110, 100, 101, 120,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 116, 116, 101, 109, 112, 116,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -196,11 +211,11 @@
 static const ::capnp::_::RawSchema* const d_c89151895dd955a1[] = {
   &s_908bb402f266e12b,
 };
-static const uint16_t m_c89151895dd955a1[] = {1, 0};
-static const uint16_t i_c89151895dd955a1[] = {0, 1};
+static const uint16_t m_c89151895dd955a1[] = {2, 1, 0};
+static const uint16_t i_c89151895dd955a1[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_c89151895dd955a1 = {
-  0xc89151895dd955a1, b_c89151895dd955a1.words, 47, d_c89151895dd955a1, m_c89151895dd955a1,
-  1, 2, i_c89151895dd955a1, nullptr, nullptr, { &s_c89151895dd955a1, nullptr, nullptr, 0, 0, nullptr }
+  0xc89151895dd955a1, b_c89151895dd955a1.words, 62, d_c89151895dd955a1, m_c89151895dd955a1,
+  1, 3, i_c89151895dd955a1, nullptr, nullptr, { &s_c89151895dd955a1, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<78> b_f14d957719621eec = {
@@ -369,66 +384,101 @@
   2, 3, i_a1f0a8eaeb1336ee, nullptr, nullptr, { &s_a1f0a8eaeb1336ee, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<108> b_9d383fa57d566cab = {
+static const ::capnp::_::AlignedData<186> b_9d383fa57d566cab = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     171, 108,  86, 125, 165,  63,  56, 157,
-     11,   0,   0,   0,   1,   0,   2,   0,
+     11,   0,   0,   0,   1,   0,   4,   0,
      53,  25, 230, 164, 240, 184, 210, 199,
-      4,   0,   7,   0,   0,   0,   0,   0,
+      5,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  87,   1,   0,   0,
+     25,   0,   0,   0, 111,   2,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     119, 105, 114, 101,  46,  99,  97, 112,
     110, 112,  58,  83, 116,  97, 114, 116,
      79, 114, 100, 101, 114,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     24,   0,   0,   0,   3,   0,   4,   0,
+     44,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    153,   0,   0,   0,  26,   0,   0,   0,
+     37,   1,   0,   0,  26,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    148,   0,   0,   0,   3,   0,   1,   0,
-    160,   0,   0,   0,   2,   0,   1,   0,
+     32,   1,   0,   0,   3,   0,   1,   0,
+     44,   1,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    157,   0,   0,   0,  42,   0,   0,   0,
+     41,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    152,   0,   0,   0,   3,   0,   1,   0,
-    164,   0,   0,   0,   2,   0,   1,   0,
+     36,   1,   0,   0,   3,   0,   1,   0,
+     48,   1,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    161,   0,   0,   0,  42,   0,   0,   0,
+     45,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    156,   0,   0,   0,   3,   0,   1,   0,
-    168,   0,   0,   0,   2,   0,   1,   0,
+     40,   1,   0,   0,   3,   0,   1,   0,
+     52,   1,   0,   0,   2,   0,   1,   0,
       3,   0,   0,   0,   3,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    165,   0,   0,   0,  66,   0,   0,   0,
+     49,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    160,   0,   0,   0,   3,   0,   1,   0,
-    172,   0,   0,   0,   2,   0,   1,   0,
+     44,   1,   0,   0,   3,   0,   1,   0,
+     56,   1,   0,   0,   2,   0,   1,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   0,   0,   0,  98,   0,   0,   0,
+     53,   1,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    168,   0,   0,   0,   3,   0,   1,   0,
-    180,   0,   0,   0,   2,   0,   1,   0,
+     52,   1,   0,   0,   3,   0,   1,   0,
+     64,   1,   0,   0,   2,   0,   1,   0,
       5,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   5,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    177,   0,   0,   0,  58,   0,   0,   0,
+     61,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    172,   0,   0,   0,   3,   0,   1,   0,
-    184,   0,   0,   0,   2,   0,   1,   0,
+     56,   1,   0,   0,   3,   0,   1,   0,
+     68,   1,   0,   0,   2,   0,   1,   0,
+      6,   0,   0,   0,   4,   0,   0,   0,
+      0,   0,   1,   0,   6,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     65,   1,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     60,   1,   0,   0,   3,   0,   1,   0,
+     72,   1,   0,   0,   2,   0,   1,   0,
+      7,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   1,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   1,   0,   0,   3,   0,   1,   0,
+     80,   1,   0,   0,   2,   0,   1,   0,
+      8,   0,   0,   0,   4,   0,   0,   0,
+      0,   0,   1,   0,   8,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   1,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   1,   0,   0,   3,   0,   1,   0,
+     88,   1,   0,   0,   2,   0,   1,   0,
+      9,   0,   0,   0,   5,   0,   0,   0,
+      0,   0,   1,   0,   9,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     85,   1,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80,   1,   0,   0,   3,   0,   1,   0,
+     92,   1,   0,   0,   2,   0,   1,   0,
+     10,   0,   0,   0, 192,   0,   0,   0,
+      0,   0,   1,   0,  10,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     89,   1,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     88,   1,   0,   0,   3,   0,   1,   0,
+    100,   1,   0,   0,   2,   0,   1,   0,
     105, 100,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
     161,  85, 217,  93, 137,  81, 145, 200,
@@ -477,6 +527,49 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    107, 101, 121,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 112, 117,  77, 105, 108, 108, 105,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 101, 109, 111, 114, 121,  77,  98,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    103, 112, 117, 115,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 115, 116,  97, 114, 116,  97,
+     98, 108, 101,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_9d383fa57d566cab = b_9d383fa57d566cab.words;
@@ -484,11 +577,11 @@
 static const ::capnp::_::RawSchema* const d_9d383fa57d566cab[] = {
   &s_c89151895dd955a1,
 };
-static const uint16_t m_9d383fa57d566cab[] = {5, 0, 1, 3, 2, 4};
-static const uint16_t i_9d383fa57d566cab[] = {0, 1, 2, 3, 4, 5};
+static const uint16_t m_9d383fa57d566cab[] = {7, 5, 9, 0, 6, 1, 8, 3, 10, 2, 4};
+static const uint16_t i_9d383fa57d566cab[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10};
 const ::capnp::_::RawSchema s_9d383fa57d566cab = {
-  0x9d383fa57d566cab, b_9d383fa57d566cab.words, 108, d_9d383fa57d566cab, m_9d383fa57d566cab,
-  1, 6, i_9d383fa57d566cab, nullptr, nullptr, { &s_9d383fa57d566cab, nullptr, nullptr, 0, 0, nullptr }
+  0x9d383fa57d566cab, b_9d383fa57d566cab.words, 186, d_9d383fa57d566cab, m_9d383fa57d566cab,
+  1, 11, i_9d383fa57d566cab, nullptr, nullptr, { &s_9d383fa57d566cab, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<128> b_9f376900aa6f8ea5 = {
@@ -1601,7 +1694,7 @@
   2, 2, i_b4e16a21032c349b, nullptr, nullptr, { &s_b4e16a21032c349b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<78> b_cb020b20fb8aac8a = {
+static const ::capnp::_::AlignedData<88> b_cb020b20fb8aac8a = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     138, 172, 138, 251,  32,  11,   2, 203,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -1611,62 +1704,70 @@
      21,   0,   0,   0, 170,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 135,   1,   0,   0,
-      9,   1,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0, 199,   1,   0,   0,
+     49,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     119, 105, 114, 101,  46,  99,  97, 112,
     110, 112,  58,  65, 103, 101, 110, 116,
      80, 111, 114, 116,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     24,   0,   0,   0,   3,   0,   5,   0,
+     28,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     245, 232, 252, 233, 195,  30,  83, 210,
      86, 152,  10, 178,  23, 173,  46, 221,
-    177,   0,   0,   0,  42,   0,   0,   0,
+    209,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    165,   0,   0,   0,   7,   0,   0,   0,
+    197,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     144,  95, 153,  78, 218, 216, 237, 194,
     233, 219, 245, 131, 248, 129, 160, 129,
-    153,   0,   0,   0,  50,   0,   0,   0,
+    185,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    141,   0,   0,   0,   7,   0,   0,   0,
+    173,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     188, 178, 215, 103,   4,  75, 174, 187,
     196, 136,  13,  91,  96,  93, 174, 173,
-    129,   0,   0,   0,  58,   0,   0,   0,
+    161,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117,   0,   0,   0,   7,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     198, 154,  23,  14, 192,  90,  65, 130,
     210, 194,  26,  74, 147, 211,  33, 178,
-    105,   0,   0,   0,  50,   0,   0,   0,
+    137,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     93,   0,   0,   0,   7,   0,   0,   0,
+    125,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     211,  18, 127,  52,  87,  66,  25, 234,
     112,  98, 194, 239, 252, 209, 128, 212,
-     81,   0,   0,   0,  58,   0,   0,   0,
+    113,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,   7,   0,   0,   0,
+    101,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     210, 106,  38, 128,  27,  55, 126, 159,
     205,  36,  68, 206, 152, 235, 148, 141,
-     57,   0,   0,   0,  66,   0,   0,   0,
+     89,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,   7,   0,   0,   0,
+     77,   0,   0,   0,   7,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+    182, 126, 232, 236, 121,  67, 128, 179,
+    122,   3, 119, 227,  89,  83, 183, 131,
+     65,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     53,   0,   0,   0,   7,   0,   0,   0,
     112, 105, 110, 103,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     115, 116,  97, 114, 116,   0,   0,   0,
@@ -1679,6 +1780,8 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     101, 110, 116, 114, 105, 101, 115,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    115, 116, 111, 112,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_cb020b20fb8aac8a = b_cb020b20fb8aac8a.words;
@@ -1686,10 +1789,12 @@
 static const ::capnp::_::RawSchema* const d_cb020b20fb8aac8a[] = {
   &s_81a081f883f5dbe9,
   &s_82415ac00e179ac6,
+  &s_83b75359e377037a,
   &s_8d94eb98ce4424cd,
   &s_9f7e371b80266ad2,
   &s_adae5d605b0d88c4,
   &s_b221d3934a1ac2d2,
+  &s_b3804379ece87eb6,
   &s_bbae4b0467d7b2bc,
   &s_c2edd8da4e995f90,
   &s_d2531ec3e9fce8f5,
@@ -1697,10 +1802,10 @@
   &s_dd2ead17b20a9856,
   &s_ea194257347f12d3,
 };
-static const uint16_t m_cb020b20fb8aac8a[] = {4, 5, 3, 0, 2, 1};
+static const uint16_t m_cb020b20fb8aac8a[] = {4, 5, 3, 0, 2, 1, 6};
 const ::capnp::_::RawSchema s_cb020b20fb8aac8a = {
-  0xcb020b20fb8aac8a, b_cb020b20fb8aac8a.words, 78, d_cb020b20fb8aac8a, m_cb020b20fb8aac8a,
-  12, 6, nullptr, nullptr, nullptr, { &s_cb020b20fb8aac8a, nullptr, nullptr, 0, 0, nullptr }
+  0xcb020b20fb8aac8a, b_cb020b20fb8aac8a.words, 88, d_cb020b20fb8aac8a, m_cb020b20fb8aac8a,
+  14, 7, nullptr, nullptr, nullptr, { &s_cb020b20fb8aac8a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<34> b_d2531ec3e9fce8f5 = {
@@ -2220,6 +2325,79 @@
   0, 0, nullptr, nullptr, nullptr, { &s_8d94eb98ce4424cd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_b3804379ece87eb6 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    182, 126, 232, 236, 121,  67, 128, 179,
+     21,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 105, 114, 101,  46,  99,  97, 112,
+    110, 112,  58,  65, 103, 101, 110, 116,
+     80, 111, 114, 116,  46, 115, 116, 111,
+    112,  36,  80,  97, 114,  97, 109, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    105, 100,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    161,  85, 217,  93, 137,  81, 145, 200,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_b3804379ece87eb6 = b_b3804379ece87eb6.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_b3804379ece87eb6[] = {
+  &s_c89151895dd955a1,
+};
+static const uint16_t m_b3804379ece87eb6[] = {0};
+static const uint16_t i_b3804379ece87eb6[] = {0};
+const ::capnp::_::RawSchema s_b3804379ece87eb6 = {
+  0xb3804379ece87eb6, b_b3804379ece87eb6.words, 33, d_b3804379ece87eb6, m_b3804379ece87eb6,
+  1, 1, i_b3804379ece87eb6, nullptr, nullptr, { &s_b3804379ece87eb6, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_83b75359e377037a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    122,   3, 119, 227,  89,  83, 183, 131,
+     21,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  18,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 105, 114, 101,  46,  99,  97, 112,
+    110, 112,  58,  65, 103, 101, 110, 116,
+     80, 111, 114, 116,  46, 115, 116, 111,
+    112,  36,  82, 101, 115, 117, 108, 116,
+    115,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_83b75359e377037a = b_83b75359e377037a.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_83b75359e377037a = {
+  0x83b75359e377037a, b_83b75359e377037a.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_83b75359e377037a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<59> b_c7b64a2c0625e72e = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      46, 231,  37,   6,  44,  74, 182, 199,
@@ -3500,6 +3678,16 @@
       "wire.capnp:AgentPort", "entries",
       0xcb020b20fb8aac8aull, 5);
 }
+::capnp::Request< ::teaselward::wire::AgentPort::StopParams,  ::teaselward::wire::AgentPort::StopResults>
+AgentPort::Client::stopRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::teaselward::wire::AgentPort::StopParams,  ::teaselward::wire::AgentPort::StopResults>(
+      0xcb020b20fb8aac8aull, 6, sizeHint);
+}
+::kj::Promise<void> AgentPort::Server::stop(StopContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "wire.capnp:AgentPort", "stop",
+      0xcb020b20fb8aac8aull, 6);
+}
 ::capnp::Capability::Server::DispatchCallResult AgentPort::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3550,6 +3738,12 @@
              ::teaselward::wire::AgentPort::EntriesParams,  ::teaselward::wire::AgentPort::EntriesResults>(context)),
         false
       };
+    case 6:
+      return {
+        stop(::capnp::Capability::Server::internalGetTypedContext<
+             ::teaselward::wire::AgentPort::StopParams,  ::teaselward::wire::AgentPort::StopResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3661,6 +3855,22 @@
 constexpr ::capnp::_::RawSchema const* AgentPort::EntriesResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// AgentPort::StopParams
+constexpr uint16_t AgentPort::StopParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t AgentPort::StopParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind AgentPort::StopParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* AgentPort::StopParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// AgentPort::StopResults
+constexpr uint16_t AgentPort::StopResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t AgentPort::StopResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind AgentPort::StopResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* AgentPort::StopResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::teaselward::wire::AgentSession::PingParams,  ::teaselward::wire::AgentSession::PingResults>
 AgentSession::Client::pingRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
--- a/src/rpc/wire.capnp.h
+++ b/src/rpc/wire.capnp.h
@@ -51,6 +51,8 @@
 CAPNP_DECLARE_SCHEMA(d480d1fcefc26270);
 CAPNP_DECLARE_SCHEMA(9f7e371b80266ad2);
 CAPNP_DECLARE_SCHEMA(8d94eb98ce4424cd);
+CAPNP_DECLARE_SCHEMA(b3804379ece87eb6);
+CAPNP_DECLARE_SCHEMA(83b75359e377037a);
 CAPNP_DECLARE_SCHEMA(c7b64a2c0625e72e);
 CAPNP_DECLARE_SCHEMA(f0845313b07e57b5);
 CAPNP_DECLARE_SCHEMA(e7ba1310453e9adc);
@@ -163,7 +165,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d383fa57d566cab, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(9d383fa57d566cab, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -391,6 +393,8 @@
   struct DemandResults;
   struct EntriesParams;
   struct EntriesResults;
+  struct StopParams;
+  struct StopResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -580,6 +584,36 @@
   };
 };
 
+struct AgentPort::StopParams {
+  StopParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b3804379ece87eb6, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AgentPort::StopResults {
+  StopResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(83b75359e377037a, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct AgentSession {
   AgentSession() = delete;
 
@@ -1136,6 +1170,8 @@
 
   inline  ::uint32_t getIndex() const;
 
+  inline  ::uint32_t getAttempt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1174,6 +1210,9 @@
   inline  ::uint32_t getIndex();
   inline void setIndex( ::uint32_t value);
 
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1428,6 +1467,17 @@
 
   inline  ::uint32_t getDemand() const;
 
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline  ::uint32_t getCpuMillis() const;
+
+  inline  ::uint32_t getMemoryMb() const;
+
+  inline  ::uint32_t getGpus() const;
+
+  inline bool getRestartable() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1490,6 +1540,25 @@
   inline  ::uint32_t getDemand();
   inline void setDemand( ::uint32_t value);
 
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline  ::uint32_t getCpuMillis();
+  inline void setCpuMillis( ::uint32_t value);
+
+  inline  ::uint32_t getMemoryMb();
+  inline void setMemoryMb( ::uint32_t value);
+
+  inline  ::uint32_t getGpus();
+  inline void setGpus( ::uint32_t value);
+
+  inline bool getRestartable();
+  inline void setRestartable(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2830,6 +2899,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::teaselward::wire::AgentPort::EntriesParams,  ::teaselward::wire::AgentPort::EntriesResults> entriesRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::teaselward::wire::AgentPort::StopParams,  ::teaselward::wire::AgentPort::StopResults> stopRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -2870,6 +2941,10 @@
   typedef  ::teaselward::wire::AgentPort::EntriesResults EntriesResults;
   typedef ::capnp::CallContext<EntriesParams, EntriesResults> EntriesContext;
   virtual ::kj::Promise<void> entries(EntriesContext context);
+  typedef  ::teaselward::wire::AgentPort::StopParams StopParams;
+  typedef  ::teaselward::wire::AgentPort::StopResults StopResults;
+  typedef ::capnp::CallContext<StopParams, StopResults> StopContext;
+  virtual ::kj::Promise<void> stop(StopContext context);
 
   inline  ::teaselward::wire::AgentPort::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3825,6 +3900,159 @@
 };
 #endif  // !CAPNP_LITE
 
+class AgentPort::StopParams::Reader {
+public:
+  typedef StopParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::teaselward::wire::TaskId::Reader getId() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AgentPort::StopParams::Builder {
+public:
+  typedef StopParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::teaselward::wire::TaskId::Builder getId();
+  inline void setId( ::teaselward::wire::TaskId::Reader value);
+  inline  ::teaselward::wire::TaskId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::teaselward::wire::TaskId>&& value);
+  inline ::capnp::Orphan< ::teaselward::wire::TaskId> disownId();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AgentPort::StopParams::Pipeline {
+public:
+  typedef StopParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::teaselward::wire::TaskId::Pipeline getId();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AgentPort::StopResults::Reader {
+public:
+  typedef StopResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AgentPort::StopResults::Builder {
+public:
+  typedef StopResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AgentPort::StopResults::Pipeline {
+public:
+  typedef StopResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class AgentSession::Client
     : public virtual ::capnp::Capability::Client {
@@ -5709,6 +5937,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t TaskId::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TaskId::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TaskId::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t TaskOutcome::Reader::getVerdict() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6046,6 +6288,96 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StartOrder::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool StartOrder::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StartOrder::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StartOrder::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void StartOrder::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StartOrder::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void StartOrder::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StartOrder::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t StartOrder::Reader::getCpuMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StartOrder::Builder::getCpuMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StartOrder::Builder::setCpuMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StartOrder::Reader::getMemoryMb() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StartOrder::Builder::getMemoryMb() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StartOrder::Builder::setMemoryMb( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StartOrder::Reader::getGpus() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StartOrder::Builder::getGpus() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void StartOrder::Builder::setGpus( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StartOrder::Reader::getRestartable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool StartOrder::Builder::getRestartable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void StartOrder::Builder::setRestartable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AgentInfo::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7570,6 +7902,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool AgentPort::StopParams::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentPort::StopParams::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::teaselward::wire::TaskId::Reader AgentPort::StopParams::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::teaselward::wire::TaskId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::teaselward::wire::TaskId::Builder AgentPort::StopParams::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::teaselward::wire::TaskId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::teaselward::wire::TaskId::Pipeline AgentPort::StopParams::Pipeline::getId() {
+  return  ::teaselward::wire::TaskId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void AgentPort::StopParams::Builder::setId( ::teaselward::wire::TaskId::Reader value) {
+  ::capnp::_::PointerHelpers< ::teaselward::wire::TaskId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::teaselward::wire::TaskId::Builder AgentPort::StopParams::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::teaselward::wire::TaskId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentPort::StopParams::Builder::adoptId(
+    ::capnp::Orphan< ::teaselward::wire::TaskId>&& value) {
+  ::capnp::_::PointerHelpers< ::teaselward::wire::TaskId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::teaselward::wire::TaskId> AgentPort::StopParams::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::teaselward::wire::TaskId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline AgentSession::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- /dev/null
+++ b/tests/agent/endpoint_room_test.cpp
@@ -0,0 +1,46 @@
+#include "agent/endpoint_room.h"
+#include "agent/task_size_estimate.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace teaselward;
+
+BOOST_AUTO_TEST_SUITE(endpoint_room_test)
+
+// Guards against a start that brings an endpoint over one of its resources, and against a sum that overflows.
+BOOST_AUTO_TEST_CASE(boundsEachResource)
+{
+    endpoint_room room({.cpuMillis = 4000, .memoryMb = 100, .gpus = 1});
+    BOOST_TEST(room.fits({.cpuMillis = 4000, .memoryMb = 100, .gpus = 1}));
+    BOOST_TEST(!room.fits({.cpuMillis = 4001}));
+    BOOST_TEST(!room.canEverFit({.cpuMillis = 0xFFFFFFFFU}));
+    room.take({.cpuMillis = 3000, .memoryMb = 10});
+    BOOST_TEST(!room.fits({.cpuMillis = 0xFFFFFFFFU}));
+    BOOST_TEST(!room.fits({.cpuMillis = 1001}));
+    BOOST_TEST(!room.fits({.memoryMb = 91}));
+    BOOST_TEST(room.fits({.cpuMillis = 1000, .memoryMb = 90, .gpus = 1}));
+    room.release({.cpuMillis = 3000, .memoryMb = 10});
+    BOOST_TEST(room.fits({.cpuMillis = 4000}));
+}
+
+// Guards against an endpoint of our own protocol, which states no resources, that refuses everything.
+BOOST_AUTO_TEST_CASE(anEndpointWithoutResourcesIsNotLimited)
+{
+    const endpoint_room room({});
+    BOOST_TEST(room.fits({.cpuMillis = 1000000}));
+}
+
+// Guards against credits that leave a large endpoint half idle, because it announces fewer slots than tasks fit.
+BOOST_AUTO_TEST_CASE(estimatesTheTasksThatFit)
+{
+    task_size_estimate estimate({.cpuMillis = 48000, .memoryMb = 1000}, 8);
+    BOOST_TEST(estimate.slots() == 8U);
+    estimate.add({.cpuMillis = 3000});
+    BOOST_TEST(estimate.slots() == 16U);
+    for (int i = 0; i < 200; ++i) {
+        estimate.add({.cpuMillis = 6000});
+    }
+    BOOST_TEST(estimate.slots() == 8U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/rpc/codec_test.cpp
+++ b/tests/rpc/codec_test.cpp
@@ -37,7 +37,7 @@
 {
     capnp::MallocMessageBuilder message;
     auto outcome = message.initRoot<wire::TaskOutcome>();
-    outcome.setVerdict(static_cast<std::uint8_t>(task_verdict::unknown) + 1);
+    outcome.setVerdict(static_cast<std::uint8_t>(task_verdict::interrupted) + 1);
     BOOST_CHECK_THROW(decode(outcome.asReader()), kj::Exception);
     outcome.setVerdict(0);
     outcome.setWhy(255);
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -86,6 +86,7 @@
     void onReplyTickets(std::size_t entry, entry_action &action);
     void onReplyJob(std::size_t entry, entry_action &action);
     void onStartTask(std::size_t entry, entry_action &action);
+    void onStopTask(std::size_t entry, entry_action &action);
     void onRevokeTask(std::size_t entry, entry_action &action);
     void onFenceTicket(std::size_t entry, entry_action &action);
     void onForwardJob(std::size_t entry, entry_action &action);
@@ -101,6 +102,8 @@
     void onAnswerRevoke(std::size_t agent, agent_action &action);
     void onAnswerFence(std::size_t agent, agent_action &action);
     void onCallEndpoint(std::size_t agent, agent_action &action);
+    void onStopCall(std::size_t agent, agent_action &action);
+    void onEndSessions(std::size_t agent, agent_action &action);
     void onGrantCredits(std::size_t agent, agent_action &action);
     void onAnnounceLeaving(std::size_t agent, agent_action &action);
     void onFinishAgentDrain(std::size_t agent, agent_action &action);
--- a/tests/scenario/world_agent_actions.cpp
+++ b/tests/scenario/world_agent_actions.cpp
@@ -28,11 +28,13 @@
     &world::onAnswerRevoke,
     &world::onAnswerFence,
     &world::onCallEndpoint,
+    &world::onStopCall,
+    &world::onEndSessions,
     &world::onGrantCredits,
     &world::onAnnounceLeaving,
     &world::onFinishAgentDrain,
 };
-static_assert(std::variant_size_v<agent_action> == 7);
+static_assert(std::variant_size_v<agent_action> == 9);
 
 void world::onAnswerStart(std::size_t agent, agent_action &action)
 {
@@ -109,6 +111,21 @@
     });
 }
 
+// The run ends at once; its own end, which is due later, no longer counts.
+void world::onStopCall(std::size_t agent, agent_action &action)
+{
+    const auto stop = std::get<stop_call>(action);
+    endCall(agent, m_agents[agent]->life(), stop.id, task_outcome{task_verdict::interrupted, reason::cancelled, "stopped", {}}, m_heap.now());
+}
+
+void world::onEndSessions(std::size_t agent, agent_action & /*action*/)
+{
+    for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+        disconnect(entry, agent);
+        connectLater(entry, agent);
+    }
+}
+
 void world::onGrantCredits(std::size_t agent, agent_action &action)
 {
     const auto grant = std::get<grant_credits>(action);
--- a/tests/scenario/world_entry_actions.cpp
+++ b/tests/scenario/world_entry_actions.cpp
@@ -14,6 +14,7 @@
     &world::onReplyTickets,
     &world::onReplyJob,
     &world::onStartTask,
+    &world::onStopTask,
     &world::onRevokeTask,
     &world::onFenceTicket,
     &world::onForwardJob,
@@ -24,7 +25,7 @@
     &world::onReplyStatus,
     &world::onFinishDrain,
 };
-static_assert(std::variant_size_v<entry_action> == 12);
+static_assert(std::variant_size_v<entry_action> == 13);
 
 void world::onReplyTickets(std::size_t /*entry*/, entry_action &action)
 {
@@ -78,6 +79,17 @@
     });
 }
 
+void world::onStopTask(std::size_t entry, entry_action &action)
+{
+    const auto stop = std::get<stop_task>(action);
+    const std::size_t agent = agentOf(stop.agent);
+    if (agent != m_agents.size() && link(entry, agent).isUp) {
+        carry(entry, agent, [this, agent, from = m_entryInfos[entry].id, id = stop.id] {
+            m_agents[agent]->deliver(stop_received{from, id});
+        });
+    }
+}
+
 void world::onRevokeTask(std::size_t entry, entry_action &action)
 {
     const auto revoke = std::get<revoke_task>(action);
--- a/tests/scenario/world_processes.cpp
+++ b/tests/scenario/world_processes.cpp
@@ -92,7 +92,7 @@
     }
     m_leavingSince[agent] = mono_time::max();
     m_agentDrained[agent] = false;
-    m_agents[agent]->start(std::make_unique<agent_core>(agent_core_settings{info}, m_log));
+    m_agents[agent]->start(std::make_unique<agent_core>(agent_core_settings{.self = info}, m_log));
     for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
         connectLater(entry, agent);
     }
