Supervise the runs of an endpoint that is driven by calls

Cause: a worker of the platform runs tasks under a lease, executes calls late, loses answers and starts anew. Change: run_supervisor renews the lease, follows each run until its end is certain and keeps late starts out; endpoint_watch tells which heartbeats count. Both know no socket and no clock. Conclusion: the decisions towards an endpoint are testable without one.

--- /dev/null
+++ b/src/agent/run/endpoint_watch.cpp
@@ -0,0 +1,54 @@
+#include "agent/run/endpoint_watch.h"
+
+#include <utility>
+
+namespace teaselward
+{
+
+endpoint_watch::endpoint_watch(std::string service)
+    : m_service(std::move(service))
+{
+}
+
+watch_verdict endpoint_watch::announced(const endpoint_announcement &announcement)
+{
+    if (!m_service.empty() && announcement.service != m_service) {
+        return watch_verdict::unchanged;
+    }
+    const bool isSameLife = m_current && m_current->id == announcement.id && m_current->born == announcement.born;
+    if (isSameLife && announcement.sequence <= m_current->sequence) {
+        return watch_verdict::unchanged;
+    }
+    // A heartbeat of a former life may have been held up by a partition.
+    if (m_current && !isSameLife && announcement.born < m_current->born) {
+        return watch_verdict::unchanged;
+    }
+    const bool startsToDrain = announcement.isDraining && !(isSameLife && m_current->isDraining);
+    m_current = announcement;
+    if (!isSameLife || !m_isAdopted) {
+        m_isAdopted = !announcement.isDraining;
+        return m_isAdopted ? watch_verdict::adopt : watch_verdict::unchanged;
+    }
+    return startsToDrain ? watch_verdict::drain : watch_verdict::unchanged;
+}
+
+bool endpoint_watch::withdrawn(std::string_view id)
+{
+    if (!m_current || m_current->id != id) {
+        return false;
+    }
+    m_isAdopted = false;
+    return true;
+}
+
+void endpoint_watch::lost()
+{
+    m_isAdopted = false;
+}
+
+const std::optional<endpoint_announcement> &endpoint_watch::current() const
+{
+    return m_current;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/agent/run/run_lists.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "agent/run/call_result.h"
+#include "agent/run/run_end.h"
+#include "agent/run/run_progress.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Answer to list_runs. */
+struct run_lists {
+    std::uint64_t number = 0; ///< Number of the call.
+    call_result result = call_result::unanswered; ///< The lists are set only if the call was accepted.
+    std::optional<std::chrono::milliseconds> endpointTime; ///< Clock of the endpoint when it answered.
+    std::optional<std::chrono::milliseconds> born; ///< Start of the life of the endpoint, since 1970.
+    std::vector<run_progress> running;
+    std::vector<run_end> ended;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/agent/run/run_progress.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "agent/run/run_id.h"
+
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** Run in progress, as the endpoint lists it. */
+struct run_progress {
+    run_id id;
+    std::uint32_t percent = 0; ///< Part of the work that is done.
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/agent/run/run_supervisor.cpp
@@ -0,0 +1,228 @@
+#include "agent/run/run_supervisor.h"
+
+#include "agent/run/run_supervisor_private.h"
+#include "core/reason_text.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// A start that found a higher attempt is repeated with one further on, at most this many times.
+constexpr std::uint32_t MostAttemptRaises = 6;
+
+/** What an answer to a start means if it is neither accepted nor unanswered. */
+struct refusal_rule {
+    call_result result;
+    task_verdict verdict;
+    reason why;
+};
+
+constexpr std::array Refusals = {
+    refusal_rule{call_result::expired, task_verdict::notStarted, reason::overloaded},
+    refusal_rule{call_result::full, task_verdict::notStarted, reason::overloaded},
+    refusal_rule{call_result::unhealthy, task_verdict::notStarted, reason::noEndpoint},
+    refusal_rule{call_result::invalid, task_verdict::failed, reason::taskFailed},
+};
+
+} // namespace
+
+run_supervisor::run_supervisor(const supervisor_settings &settings, mono_time now, decision_log &log)
+    : d(std::make_unique<detail::run_supervisor_private>(settings, log))
+{
+    d->contactAt = now;
+    d->leaseSentEnd = now;
+    d->sendList(std::chrono::milliseconds::zero(), now);
+}
+
+run_supervisor::~run_supervisor() = default;
+
+void run_supervisor::start(const call_endpoint &order, mono_time now)
+{
+    if (d->lost || !d->ready || d->isNameBusy(order)) {
+        d->ends.push_back({.id = order.id, .outcome = {.verdict = task_verdict::notStarted, .why = reason::overloaded, .body = {}, .runTime = {}}});
+        return;
+    }
+    supervised_run run;
+    run.id = {.job = order.key, .index = order.id.index, .attempt = std::max(1U, order.id.attempt)};
+    run.order = order;
+    run.startedAt = now;
+    run.limit = now + order.timeLimit;
+    const run_id id = run.id;
+    d->sendStart(d->runs.emplace(id, std::move(run)).first->second, now);
+}
+
+void run_supervisor::stop(const task_id &task, mono_time now)
+{
+    if (supervised_run *run = d->find(task); run != nullptr) {
+        d->wantStop(*run, reason::cancelled, now);
+    }
+}
+
+// A start without an answer may have begun, may have ended, or may begin seconds later; a list that is sent from now on decides.
+void run_supervisor::startAnswered(const run_id &id, call_result result, mono_time now)
+{
+    const auto found = d->runs.find(id);
+    if (result == call_result::otherLife || result == call_result::unreachable) {
+        d->lose(result == call_result::otherLife ? "another life answered" : "the connection was refused", now);
+        return;
+    }
+    if (result != call_result::unanswered) {
+        d->contactAt = now;
+    }
+    if (found == d->runs.end() || found->second.state != run_state::starting) {
+        return;
+    }
+    supervised_run &run = found->second;
+    if (result == call_result::accepted) {
+        run.state = run_state::running;
+        run.wasSeen = true;
+        run.decisive = d->lastList;
+        run.progressedAt = now;
+    } else if (result == call_result::outdated && run.id.attempt < run.order.id.attempt + (1U << MostAttemptRaises)) {
+        supervised_run raised = std::move(run);
+        d->runs.erase(found);
+        raised.id.attempt += std::max(1U, raised.id.attempt - std::min(raised.id.attempt, raised.order.id.attempt));
+        const run_id next = raised.id;
+        d->sendStart(d->runs.emplace(next, std::move(raised)).first->second, now);
+        return;
+    } else if (result == call_result::unanswered) {
+        run.state = run_state::unsure;
+        run.decisive = d->lastList;
+        d->logRun("A start got no answer.", run);
+        d->sendList(std::chrono::milliseconds::zero(), now);
+    } else {
+        // The client library repeats a request whose connection was closed, so an earlier copy of a refused start may still
+        // arrive. It is kept out like a start without an answer.
+        const auto rule = std::ranges::find(Refusals, result, &refusal_rule::result);
+        run.verdictIfAbsent = rule != Refusals.end() ? rule->verdict : task_verdict::notStarted;
+        run.stopReason = rule != Refusals.end() ? rule->why : reason::overloaded;
+        run.stopWanted = true;
+        d->logRun("The endpoint refused a start.", run, reasonText(run.stopReason));
+    }
+    if (run.stopWanted) {
+        d->sendStop(run, now);
+    }
+}
+
+void run_supervisor::stopAnswered(const run_id &id, call_result result, mono_time now)
+{
+    if (result == call_result::otherLife || result == call_result::unreachable) {
+        d->lose(result == call_result::otherLife ? "another life answered" : "the connection was refused", now);
+        return;
+    }
+    if (result != call_result::unanswered) {
+        d->contactAt = now;
+    }
+    const auto found = d->runs.find(id);
+    if (found == d->runs.end() || found->second.state != run_state::stopping) {
+        return;
+    }
+    supervised_run &run = found->second;
+    if (result != call_result::accepted && result != call_result::outdated) {
+        run.retryAt = now + d->settings.stopRetry;
+        return;
+    }
+    run.state = run_state::stopped;
+    run.retryAt = mono_time::max();
+    run.decisive = d->lastList;
+    d->sendList(std::chrono::milliseconds::zero(), now);
+}
+
+void run_supervisor::listed(const run_lists &lists, mono_time now)
+{
+    --d->listsInCall;
+    if (lists.result == call_result::fenced) {
+        d->raiseToken(now);
+        return;
+    }
+    const bool isOtherLife = lists.born && d->settings.born.count() > 0 && *lists.born != d->settings.born;
+    if (isOtherLife || lists.result == call_result::otherLife || lists.result == call_result::unreachable) {
+        d->lose(lists.result == call_result::unreachable ? "the connection was refused" : "another life answered", now);
+        return;
+    }
+    if (lists.result != call_result::accepted) {
+        d->nextList = std::min(d->nextList, now + d->settings.stopRetry / 2);
+        return;
+    }
+    d->contactAt = now;
+    if (lists.endpointTime) {
+        d->clockOffset = *lists.endpointTime - std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    }
+    if (lists.number > d->newestAnswer) {
+        d->newestAnswer = lists.number;
+        d->applyEnds(lists, now);
+        d->applyRunning(lists, now);
+        d->applyAbsent(lists, now);
+        if (!d->ready && d->strays.empty() && d->token > 0) {
+            d->ready = true;
+        }
+    }
+    if (d->listsInCall == 0) {
+        d->nextList = now;
+        runTimers(now);
+    }
+}
+
+void run_supervisor::runTimers(mono_time now)
+{
+    if (d->lost) {
+        return;
+    }
+    // While there is no contact the lease is not extended, so all runs have ended once the last one that was sent is over.
+    if (now - d->contactAt > d->settings.contactLimit && now > d->leaseSentEnd + d->settings.lease / 20) {
+        d->lose("no answer", now);
+        return;
+    }
+    std::vector<run_id> due;
+    for (auto &[id, run] : d->runs) {
+        if (run.retryAt <= now) {
+            d->sendStop(run, now);
+        } else if (run.limit <= now && !run.stopWanted) {
+            d->wantStop(run, reason::deadlineExceeded, now);
+        }
+    }
+    if (d->listsInCall == 0 && d->nextList <= now) {
+        d->sendList(d->settings.renewal, now);
+    }
+}
+
+mono_time run_supervisor::nextDue() const
+{
+    if (d->lost) {
+        return mono_time::max();
+    }
+    mono_time due = d->listsInCall == 0 ? d->nextList : mono_time::max();
+    due = std::min(due, std::max(d->contactAt + d->settings.contactLimit, d->leaseSentEnd + d->settings.lease / 20) + std::chrono::milliseconds(1));
+    for (const auto &[id, run] : d->runs) {
+        due = std::min({due, run.retryAt, run.stopWanted ? mono_time::max() : run.limit});
+    }
+    return due;
+}
+
+std::vector<run_call> run_supervisor::takeCalls()
+{
+    return std::exchange(d->calls, {});
+}
+
+std::vector<call_finished> run_supervisor::takeEnds()
+{
+    return std::exchange(d->ends, {});
+}
+
+bool run_supervisor::isReady() const
+{
+    return d->ready && !d->lost;
+}
+
+bool run_supervisor::isLost() const
+{
+    return d->lost;
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/agent/run/run_supervisor_private.cpp
@@ -0,0 +1,253 @@
+#include "agent/run/run_supervisor_private.h"
+
+#include "core/concat.h"
+#include "core/reason_text.h"
+#include "core/task_text.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace teaselward::detail
+{
+
+namespace
+{
+
+// Growth of the step by which a fencing token is raised after a refusal: a token a day ahead is overtaken in 14 steps.
+constexpr std::uint64_t TokenGrowth = 4;
+
+/** How the end of a run reads as the outcome of its task. */
+struct result_rule {
+    run_result result;
+    task_verdict verdict;
+    reason why;
+};
+
+// Indexed by the value of run_result.
+constexpr std::array Results = {
+    result_rule{run_result::done, task_verdict::succeeded, reason::none},
+    result_rule{run_result::failed, task_verdict::failed, reason::taskFailed},
+    result_rule{run_result::stopped, task_verdict::interrupted, reason::cancelled},
+    result_rule{run_result::lapsed, task_verdict::interrupted, reason::outcomeUnknown},
+    result_rule{run_result::broken, task_verdict::interrupted, reason::outcomeUnknown},
+    result_rule{run_result::abandoned, task_verdict::interrupted, reason::outcomeUnknown},
+};
+
+} // namespace
+
+run_supervisor_private::run_supervisor_private(const supervisor_settings &given, decision_log &lines)
+    : settings(given)
+    , log(lines)
+    , token(given.fencingToken)
+{
+}
+
+// The endpoint's clock is read when its answer arrives, so the estimate is never ahead of it.
+std::chrono::milliseconds run_supervisor_private::leaseEnd(mono_time now) const
+{
+    const auto own = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    return clockOffset.value_or(-own) + own + settings.lease;
+}
+
+// The first call and those without contact extend no lease.
+void run_supervisor_private::sendList(std::chrono::milliseconds wait, mono_time now)
+{
+    list_runs call;
+    call.number = ++lastList;
+    call.fencingToken = token;
+    call.acknowledged = acknowledged;
+    call.wait = wait;
+    if (clockOffset && now - contactAt <= settings.contactLimit) {
+        call.leaseEnd = leaseEnd(now);
+        leaseSentEnd = now + settings.lease;
+    }
+    ++listsInCall;
+    nextList = now + settings.renewal;
+    calls.emplace_back(call);
+}
+
+void run_supervisor_private::sendStart(supervised_run &run, mono_time now)
+{
+    run.state = run_state::starting;
+    leaseSentEnd = std::max(leaseSentEnd, now + settings.lease);
+    calls.emplace_back(start_run{.id = run.id, .spec = run.order.payload, .leaseEnd = leaseEnd(now), .fencingToken = token});
+}
+
+void run_supervisor_private::sendStop(supervised_run &run, mono_time /*now*/)
+{
+    run.state = run_state::stopping;
+    run.retryAt = mono_time::max();
+    calls.emplace_back(stop_run{.id = run.id, .fencingToken = token});
+}
+
+// A start that is not answered yet is stopped after its answer, so that the stop cannot overtake it.
+void run_supervisor_private::wantStop(supervised_run &run, reason why, mono_time now)
+{
+    if (run.stopWanted) {
+        return;
+    }
+    run.stopWanted = true;
+    run.stopReason = why;
+    logRun("Stopping a run.", run, reasonText(why));
+    if (run.state == run_state::running) {
+        sendStop(run, now);
+    }
+}
+
+void run_supervisor_private::applyEnds(const run_lists &lists, mono_time now)
+{
+    for (const run_end &end : lists.ended) {
+        if (end.number <= acknowledged) {
+            continue;
+        }
+        acknowledged = end.number;
+        strays.erase(end.id);
+        const auto found = runs.find(end.id);
+        if (found == runs.end()) {
+            continue;
+        }
+        const result_rule &rule = Results.at(static_cast<std::size_t>(end.result));
+        const bool byUs = rule.verdict == task_verdict::interrupted && found->second.stopWanted;
+        finish(end.id, rule.verdict, byUs ? found->second.stopReason : rule.why, now);
+    }
+}
+
+void run_supervisor_private::applyRunning(const run_lists &lists, mono_time now)
+{
+    absl::flat_hash_set<run_id> listedStrays;
+    for (const run_progress &progress : lists.running) {
+        const auto found = runs.find(progress.id);
+        if (found == runs.end()) {
+            listedStrays.insert(progress.id);
+            if (strays.insert(progress.id).second && log.isEnabled()) {
+                log.write(log_part::agent, concat("Stopping a run of an earlier incarnation. job=", progress.id.job, " task=", progress.id.index));
+            }
+            calls.emplace_back(stop_run{.id = progress.id, .fencingToken = token});
+            continue;
+        }
+        supervised_run &run = found->second;
+        run.wasSeen = true;
+        if (run.state == run_state::starting || run.state == run_state::unsure) {
+            run.state = run_state::running;
+            run.decisive = lists.number;
+            run.progressedAt = now;
+            if (run.stopWanted) {
+                sendStop(run, now);
+            }
+        }
+        checkProgress(run, progress, now);
+    }
+    strays = std::move(listedStrays);
+}
+
+// An endpoint whose tasks stand still answers all calls, so only the percentage shows it.
+void run_supervisor_private::checkProgress(supervised_run &run, const run_progress &progress, mono_time now)
+{
+    if (progress.percent != run.percent || run.state != run_state::running) {
+        run.percent = progress.percent;
+        run.progressedAt = now;
+    } else if (now - run.progressedAt > settings.stallLimit) {
+        wantStop(run, reason::runStalled, now);
+    }
+}
+
+// Settles the runs that a list would name if they were there.
+void run_supervisor_private::applyAbsent(const run_lists &lists, mono_time now)
+{
+    absl::flat_hash_set<run_id> named;
+    for (const run_progress &progress : lists.running) {
+        named.insert(progress.id);
+    }
+    std::vector<run_id> gone;
+    for (auto &[id, run] : runs) {
+        if (named.contains(id) || lists.number <= run.decisive) {
+            continue;
+        }
+        if (run.state == run_state::unsure) {
+            // It may still begin later; an accepted stop keeps it from that.
+            run.stopWanted = true;
+            run.stopReason = reason::outcomeUnknown;
+            sendStop(run, now);
+            logRun("The run is not there; keeping its start from arriving later.", run);
+        } else if (run.state == run_state::running || run.state == run_state::stopped) {
+            gone.push_back(id);
+        }
+    }
+    for (const run_id &id : gone) {
+        const supervised_run &run = runs.at(id);
+        finish(id, run.wasSeen ? task_verdict::interrupted : run.verdictIfAbsent, run.stopWanted ? run.stopReason : reason::outcomeUnknown, now);
+    }
+}
+
+// Writes a line about a run with the names by which its caller and the endpoint know it.
+void run_supervisor_private::logRun(std::string_view sentence, const supervised_run &run, std::string_view why)
+{
+    if (log.isEnabled()) {
+        log.write(log_part::agent,
+                  concat(sentence, " ", taskText(run.order.id), " job=", run.id.job, " run=", run.id.attempt, why.empty() ? "" : " reason=", why));
+    }
+}
+
+void run_supervisor_private::finish(const run_id &id, task_verdict verdict, reason why, mono_time now)
+{
+    const auto found = runs.find(id);
+    task_outcome outcome;
+    outcome.verdict = verdict;
+    outcome.why = why;
+    outcome.runTime = std::chrono::duration_cast<std::chrono::microseconds>(now - found->second.startedAt);
+    if (verdict != task_verdict::succeeded) {
+        logRun("A run ended without a result.", found->second, reasonText(why));
+    }
+    ends.push_back({.id = found->second.order.id, .outcome = std::move(outcome)});
+    runs.erase(found);
+}
+
+// All runs of a life end with it.
+void run_supervisor_private::lose(std::string_view why, mono_time now)
+{
+    if (lost) {
+        return;
+    }
+    lost = true;
+    if (log.isEnabled()) {
+        const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(now - contactAt);
+        log.write(log_part::agent, concat("Lost the endpoint. why=", why, " runs=", runs.size(), " silence_ms=", silence.count()));
+    }
+    std::vector<run_id> all;
+    for (const auto &[id, run] : runs) {
+        all.push_back(id);
+    }
+    for (const run_id &id : all) {
+        finish(id, task_verdict::interrupted, reason::outcomeUnknown, now);
+    }
+}
+
+// An earlier incarnation of the agent used a higher token, for example because the wall clock was set back since.
+void run_supervisor_private::raiseToken(mono_time now)
+{
+    token += tokenStep;
+    tokenStep *= TokenGrowth;
+    contactAt = now;
+    sendList(std::chrono::milliseconds::zero(), now);
+}
+
+supervised_run *run_supervisor_private::find(const task_id &task)
+{
+    for (auto &[id, run] : runs) {
+        if (run.order.id == task) {
+            return &run;
+        }
+    }
+    return nullptr;
+}
+
+// A job that was sent to two entries has the same names; its second run must wait for the end of the first.
+bool run_supervisor_private::isNameBusy(const call_endpoint &order) const
+{
+    return std::ranges::any_of(runs, [&order](const auto &item) {
+        return item.first.job == order.key && item.first.index == order.id.index;
+    });
+}
+
+} // namespace teaselward::detail
--- /dev/null
+++ b/src/agent/run/run_supervisor_private.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "agent/run/run_supervisor.h"
+#include "agent/run/supervised_run.h"
+#include "core/task_outcome.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace teaselward::detail
+{
+
+/** State of run_supervisor. */
+class run_supervisor_private
+{
+public:
+    run_supervisor_private(const supervisor_settings &given, decision_log &lines);
+
+    void sendList(std::chrono::milliseconds wait, mono_time now);
+    void sendStart(supervised_run &run, mono_time now);
+    void sendStop(supervised_run &run, mono_time now);
+    void wantStop(supervised_run &run, reason why, mono_time now);
+    void applyEnds(const run_lists &lists, mono_time now);
+    void applyRunning(const run_lists &lists, mono_time now);
+    void applyAbsent(const run_lists &lists, mono_time now);
+    void checkProgress(supervised_run &run, const run_progress &progress, mono_time now);
+    void logRun(std::string_view sentence, const supervised_run &run, std::string_view why = {});
+    void finish(const run_id &id, task_verdict verdict, reason why, mono_time now);
+    void lose(std::string_view why, mono_time now);
+    void raiseToken(mono_time now);
+    supervised_run *find(const task_id &task);
+    bool isNameBusy(const call_endpoint &order) const;
+    std::chrono::milliseconds leaseEnd(mono_time now) const;
+
+    const supervisor_settings settings;
+    decision_log &log;
+    absl::flat_hash_map<run_id, supervised_run> runs;
+    absl::flat_hash_set<run_id> strays; ///< Runs of others that are being stopped.
+    std::vector<run_call> calls;
+    std::vector<call_finished> ends;
+    std::uint64_t token = 0;
+    std::uint64_t tokenStep = 1;
+    std::uint64_t lastList = 0; ///< Number of the last list call.
+    std::uint64_t newestAnswer = 0; ///< Number of the newest list call that was answered.
+    std::uint32_t listsInCall = 0;
+    std::uint64_t acknowledged = 0;
+    std::optional<std::chrono::milliseconds> clockOffset; ///< Clock of the endpoint less our clock; never too far ahead.
+    mono_time contactAt{}; ///< Last answer of the endpoint.
+    mono_time leaseSentEnd{}; ///< No lease that was sent ends later, on our clock.
+    mono_time nextList{};
+    bool ready = false;
+    bool lost = false;
+};
+
+} // namespace teaselward::detail
--- /dev/null
+++ b/tests/agent/run/endpoint_watch_test.cpp
@@ -0,0 +1,63 @@
+#include "agent/run/endpoint_watch.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+endpoint_announcement heartbeat(std::chrono::milliseconds born, std::uint64_t sequence, bool isDraining = false)
+{
+    endpoint_announcement made;
+    made.id = "i-1";
+    made.born = born;
+    made.service = "register";
+    made.sequence = sequence;
+    made.isDraining = isDraining;
+    return made;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(endpoint_watch_test)
+
+// Guards against a heartbeat that a partition held up and that brings back a life which has crashed since.
+BOOST_AUTO_TEST_CASE(ignoresTheHeartbeatOfAFormerLife)
+{
+    endpoint_watch watch("register");
+    BOOST_TEST((watch.announced(heartbeat(100ms, 5)) == watch_verdict::adopt));
+    BOOST_TEST((watch.announced(heartbeat(200ms, 1)) == watch_verdict::adopt));
+    BOOST_TEST((watch.announced(heartbeat(100ms, 6)) == watch_verdict::unchanged));
+    BOOST_TEST((watch.current()->born == 200ms));
+}
+
+// Guards against a late heartbeat that says "ready" after the endpoint said that it drains.
+BOOST_AUTO_TEST_CASE(ignoresAnOlderHeartbeatOfTheSameLife)
+{
+    endpoint_watch watch("register");
+    watch.announced(heartbeat(100ms, 5));
+    BOOST_TEST((watch.announced(heartbeat(100ms, 7, true)) == watch_verdict::drain));
+    BOOST_TEST((watch.announced(heartbeat(100ms, 6)) == watch_verdict::unchanged));
+    BOOST_TEST(watch.current()->isDraining);
+}
+
+// Guards against an endpoint that stays unused after a short loss of contact.
+BOOST_AUTO_TEST_CASE(adoptsALostEndpointAgain)
+{
+    endpoint_watch watch("register");
+    watch.announced(heartbeat(100ms, 5));
+    watch.lost();
+    BOOST_TEST((watch.announced(heartbeat(100ms, 6)) == watch_verdict::adopt));
+}
+
+// Guards against heartbeats of another writer.
+BOOST_AUTO_TEST_CASE(ignoresOtherServices)
+{
+    endpoint_watch watch("other");
+    BOOST_TEST((watch.announced(heartbeat(100ms, 5)) == watch_verdict::unchanged));
+    BOOST_TEST(!watch.current().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/agent/run/run_supervisor_test.cpp
@@ -0,0 +1,315 @@
+#include "agent/run/run_supervisor.h"
+#include "log/null_log.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds EndpointAhead = 5000ms; // Clock of the endpoint less that of the agent.
+
+/** Supervisor with the endpoint played by the test. */
+struct supervised_endpoint {
+    supervised_endpoint()
+        : supervisor({.fencingToken = 10, .born = 77ms}, now, log)
+    {
+    }
+
+    // Answers all list calls that were sent, with the same lists.
+    void answerLists(const std::vector<run_progress> &running = {}, const std::vector<run_end> &ended = {})
+    {
+        collect();
+        for (const list_runs &call : std::exchange(lists, {})) {
+            answerList(call, running, ended);
+        }
+    }
+
+    void answerList(const list_runs &call, const std::vector<run_progress> &running, const std::vector<run_end> &ended)
+    {
+        run_lists answer;
+        answer.number = call.number;
+        answer.result = call_result::accepted;
+        answer.endpointTime = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()) + EndpointAhead;
+        answer.born = 77ms;
+        answer.running = running;
+        answer.ended = ended;
+        supervisor.listed(answer, now);
+    }
+
+    void collect()
+    {
+        for (run_call &call : supervisor.takeCalls()) {
+            if (auto *list = std::get_if<list_runs>(&call)) {
+                lists.push_back(*list);
+            } else if (auto *start = std::get_if<start_run>(&call)) {
+                starts.push_back(*start);
+            } else {
+                stops.push_back(std::get<stop_run>(call));
+            }
+        }
+    }
+
+    std::optional<task_outcome> outcome()
+    {
+        for (call_finished &end : supervisor.takeEnds()) {
+            ends.push_back(std::move(end));
+        }
+        if (ends.empty()) {
+            return std::nullopt;
+        }
+        const task_outcome first = ends.front().outcome;
+        ends.erase(ends.begin());
+        return first;
+    }
+
+    void order(std::uint32_t index = 0, std::uint32_t attempt = 1)
+    {
+        call_endpoint call;
+        call.id = {.ticket = {.incarnation = 1, .sequence = 1}, .index = index, .attempt = attempt};
+        call.key = "00112233aabbccdd";
+        call.payload = "spec";
+        call.timeLimit = 10s;
+        supervisor.start(call, now);
+        collect();
+    }
+
+    mono_time now{1h};
+    null_log log;
+    run_supervisor supervisor;
+    std::vector<list_runs> lists;
+    std::vector<start_run> starts;
+    std::vector<stop_run> stops;
+    std::vector<call_finished> ends;
+};
+
+run_id run(std::uint32_t index = 0, std::uint32_t attempt = 1)
+{
+    return {.job = "00112233aabbccdd", .index = index, .attempt = attempt};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(run_supervisor_test)
+
+// Guards against a start beside a run of an earlier incarnation of the agent, which the capacity does not count.
+BOOST_AUTO_TEST_CASE(stopsTheRunsOfOthersBeforeItIsReady)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists({{.id = run(4), .percent = 10}});
+    endpoint.collect();
+    BOOST_TEST(!endpoint.supervisor.isReady());
+    BOOST_REQUIRE(endpoint.stops.size() == 1U);
+    BOOST_TEST((endpoint.stops[0].id == run(4)));
+    endpoint.answerLists({}, {{.number = 1, .id = run(4), .result = run_result::stopped}});
+    BOOST_TEST(endpoint.supervisor.isReady());
+    endpoint.order();
+    BOOST_REQUIRE(endpoint.starts.size() == 1U);
+}
+
+// Guards against a lease on the wrong clock, and against one that outlives the resend of a job.
+BOOST_AUTO_TEST_CASE(leasesEndOnTheClockOfTheEndpoint)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.order();
+    const auto own = std::chrono::duration_cast<std::chrono::milliseconds>(endpoint.now.time_since_epoch());
+    BOOST_REQUIRE(endpoint.starts.size() == 1U);
+    BOOST_TEST((endpoint.starts[0].leaseEnd == own + EndpointAhead + 650ms));
+    BOOST_TEST(endpoint.starts[0].fencingToken == 10U);
+}
+
+// Guards against a token below that of an earlier agent, after the wall clock was set back.
+BOOST_AUTO_TEST_CASE(raisesTheTokenUntilTheEndpointTakesIt)
+{
+    supervised_endpoint endpoint;
+    std::uint64_t token = 0;
+    for (int i = 0; i < 5; ++i) {
+        endpoint.collect();
+        const list_runs call = endpoint.lists.back();
+        endpoint.lists.clear();
+        BOOST_TEST(call.fencingToken > token);
+        token = call.fencingToken;
+        run_lists refused;
+        refused.number = call.number;
+        refused.result = call_result::fenced;
+        endpoint.supervisor.listed(refused, endpoint.now);
+    }
+    endpoint.answerLists();
+    BOOST_TEST(endpoint.supervisor.isReady());
+}
+
+// Guards against the late execution of a start without an answer, beside the next attempt of its task.
+BOOST_AUTO_TEST_CASE(aStartWithoutAnswerIsKeptFromArrivingLater)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.order();
+    endpoint.supervisor.startAnswered(run(), call_result::unanswered, endpoint.now);
+    BOOST_TEST(!endpoint.outcome());
+    endpoint.answerLists();
+    endpoint.collect();
+    BOOST_REQUIRE(endpoint.stops.size() == 1U);
+    BOOST_TEST((endpoint.stops[0].id == run()));
+    BOOST_TEST(!endpoint.outcome()); // Its room stays reserved until the stop is accepted.
+    endpoint.supervisor.stopAnswered(run(), call_result::unanswered, endpoint.now);
+    endpoint.now += 100ms;
+    endpoint.supervisor.runTimers(endpoint.now);
+    endpoint.collect();
+    BOOST_REQUIRE(endpoint.stops.size() == 2U);
+    endpoint.supervisor.stopAnswered(run(), call_result::accepted, endpoint.now);
+    endpoint.answerLists();
+    const auto outcome = endpoint.outcome();
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((outcome->verdict == task_verdict::notStarted));
+}
+
+// Guards against the same for a start that was refused, of which the client library may have sent an earlier copy.
+BOOST_AUTO_TEST_CASE(aRefusedStartIsKeptFromArrivingLater)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.order();
+    endpoint.supervisor.startAnswered(run(), call_result::unhealthy, endpoint.now);
+    endpoint.collect();
+    BOOST_TEST(!endpoint.outcome());
+    BOOST_REQUIRE(endpoint.stops.size() == 1U);
+    endpoint.supervisor.stopAnswered(run(), call_result::accepted, endpoint.now);
+    endpoint.answerLists();
+    const auto outcome = endpoint.outcome();
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((outcome->verdict == task_verdict::notStarted));
+    BOOST_TEST((outcome->why == reason::noEndpoint));
+}
+
+// Guards against work thrown away: a run whose start was answered into a lost connection goes on.
+BOOST_AUTO_TEST_CASE(aRunThatTheListNamesGoesOn)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.order();
+    endpoint.supervisor.startAnswered(run(), call_result::unanswered, endpoint.now);
+    endpoint.answerLists({{.id = run(), .percent = 5}});
+    endpoint.collect();
+    BOOST_TEST(endpoint.stops.empty());
+    endpoint.answerLists({}, {{.number = 1, .id = run(), .result = run_result::done}});
+    const auto outcome = endpoint.outcome();
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((outcome->verdict == task_verdict::succeeded));
+}
+
+// Guards against an end that is counted twice, since the endpoint repeats it until it is acknowledged.
+BOOST_AUTO_TEST_CASE(acknowledgesEachEndOnce)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.order();
+    endpoint.supervisor.startAnswered(run(), call_result::accepted, endpoint.now);
+    const std::vector<run_end> ended{{.number = 1, .id = run(), .result = run_result::failed}};
+    endpoint.answerLists({}, ended);
+    BOOST_TEST((endpoint.outcome()->verdict == task_verdict::failed));
+    endpoint.collect();
+    BOOST_REQUIRE(!endpoint.lists.empty());
+    BOOST_TEST(endpoint.lists.back().acknowledged == 1U);
+    endpoint.answerLists({}, ended);
+    BOOST_TEST(!endpoint.outcome());
+}
+
+// Guards against a second run of a task beside the first, when a job was sent to two entries.
+BOOST_AUTO_TEST_CASE(refusesASecondRunOfTheSameName)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.order();
+    endpoint.order(0, 2);
+    BOOST_TEST(endpoint.starts.size() == 1U);
+    BOOST_TEST((endpoint.outcome()->verdict == task_verdict::notStarted));
+}
+
+// Guards against a task that can never start where an earlier copy of its job ran.
+BOOST_AUTO_TEST_CASE(raisesTheAttemptAboveAnEarlierOne)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.order();
+    endpoint.supervisor.startAnswered(run(), call_result::outdated, endpoint.now);
+    endpoint.collect();
+    BOOST_REQUIRE(endpoint.starts.size() == 2U);
+    BOOST_TEST(endpoint.starts[1].id.attempt == 2U);
+}
+
+// Guards against an endpoint whose tasks stand still while it answers all calls.
+BOOST_AUTO_TEST_CASE(stopsARunWithoutProgress)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.order();
+    endpoint.supervisor.startAnswered(run(), call_result::accepted, endpoint.now);
+    for (int i = 0; i < 6; ++i) {
+        endpoint.now += 100ms;
+        endpoint.supervisor.runTimers(endpoint.now);
+        endpoint.answerLists({{.id = run(), .percent = 20}});
+    }
+    endpoint.collect();
+    BOOST_REQUIRE(endpoint.stops.size() == 1U);
+    endpoint.answerLists({}, {{.number = 1, .id = run(), .result = run_result::stopped}});
+    const auto outcome = endpoint.outcome();
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((outcome->verdict == task_verdict::interrupted));
+    BOOST_TEST((outcome->why == reason::runStalled));
+}
+
+// Guards against runs that are given up while their lease may still hold, and against a lease that is extended for ever.
+BOOST_AUTO_TEST_CASE(givesUpASilentEndpointOnlyAfterItsLease)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.order();
+    endpoint.supervisor.startAnswered(run(), call_result::accepted, endpoint.now);
+    const mono_time silentSince = endpoint.now;
+    mono_time lastLease = endpoint.now + 650ms;
+    while (!endpoint.supervisor.isLost() && endpoint.now < silentSince + 5s) {
+        endpoint.now += 10ms;
+        endpoint.supervisor.runTimers(endpoint.now);
+        endpoint.collect();
+        for (const list_runs &call : std::exchange(endpoint.lists, {})) {
+            if (call.leaseEnd) {
+                const auto end = *call.leaseEnd - EndpointAhead;
+                lastLease = mono_time(std::chrono::duration_cast<mono_clock::duration>(end));
+            }
+            run_lists silent;
+            silent.number = call.number;
+            endpoint.supervisor.listed(silent, endpoint.now);
+        }
+    }
+    BOOST_TEST(endpoint.supervisor.isLost());
+    BOOST_TEST((endpoint.now >= lastLease + 13ms)); // A clock that is 2 % slow lengthens the lease.
+    BOOST_TEST((endpoint.now <= silentSince + 1300ms));
+    BOOST_TEST((endpoint.outcome()->verdict == task_verdict::interrupted));
+}
+
+// Guards against runs that are waited for after the endpoint has started anew under its id.
+BOOST_AUTO_TEST_CASE(aNewLifeEndsAllRuns)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.order();
+    endpoint.supervisor.startAnswered(run(), call_result::accepted, endpoint.now);
+    endpoint.collect();
+    run_lists other;
+    other.number = endpoint.lists.back().number;
+    other.result = call_result::accepted;
+    other.endpointTime = 3ms;
+    other.born = 99ms;
+    endpoint.supervisor.listed(other, endpoint.now);
+    BOOST_TEST(endpoint.supervisor.isLost());
+    BOOST_TEST((endpoint.outcome()->verdict == task_verdict::interrupted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
