--- a/src/cli/agent_command.cpp
+++ b/src/cli/agent_command.cpp
@@ -3,8 +3,11 @@
 #include "cli/command_flags.h"
 #include "cli/exit_status.h"
 #include "cli/print_errors.h"
+#include "cli/reload_text.h"
 #include "cli/run_until_stopped.h"
+#include "cli/settings_path.h"
 #include "proc/agent_process.h"
+#include "proc/watching_agent_process.h"
 #include "settings/load_settings.h"
 
 #include <gflags/gflags.h>
@@ -19,7 +22,8 @@
 namespace
 {
 
-constexpr std::string_view Usage = "usage: teaselward agent --settings=FILE\n\n"
+constexpr std::string_view Usage = "usage: teaselward agent [--settings=FILE]\n\n"
+                                   "Without the option the file is named by TEASELWARD_SETTINGS.\n"
                                    "Runs an agent until SIGTERM, then announces that it leaves and finishes the tasks in progress.\n"
                                    "Exit status: 0 after a graceful shutdown, 2 usage, 3 bad settings.";
 
@@ -30,13 +34,21 @@
     if (const auto done = parseCommandFlags(argc, argv, Usage, {"settings"})) {
         return *done;
     }
-    const auto loaded = loadAgentSettings(FLAGS_settings);
+    const auto loaded = loadAgentSettings(settingsPath(FLAGS_settings));
     if (!loaded.errors.empty()) {
         printErrors(loaded.errors);
         return exit_status::badSettings;
     }
     const agent_settings &settings = loaded.settings;
-    return runUntilStopped("agent", settings.logDecisions, "agent of " + settings.endpointAddress, [&](decision_log &log) {
+    const auto reload = [] {
+        return reloadText(loadAgentSettings(settingsPath(FLAGS_settings)).errors);
+    };
+    if (!settings.platformControl.empty()) {
+        return runUntilStopped("agent", settings.logDecisions, "agent of " + settings.endpointAddress, reload, [&](decision_log &log) {
+            return std::make_unique<watching_agent_process>(settings, log);
+        });
+    }
+    return runUntilStopped("agent", settings.logDecisions, "agent of " + settings.endpointAddress, reload, [&](decision_log &log) {
         return std::make_unique<agent_process>(settings, log);
     });
 }
--- a/src/cli/local_command.cpp
+++ b/src/cli/local_command.cpp
@@ -29,9 +29,16 @@
     if (const auto done = parseCommandFlags(argc, argv, Usage, {"local_listen", "decisions"})) {
         return *done;
     }
-    return runUntilStopped("local", FLAGS_decisions, "local listening " + FLAGS_local_listen, [](decision_log &log) {
-        return std::make_unique<local_system>(FLAGS_local_listen, log);
-    });
+    return runUntilStopped(
+        "local",
+        FLAGS_decisions,
+        "local listening " + FLAGS_local_listen,
+        [] {
+            return std::string("There is no settings file.");
+        },
+        [](decision_log &log) {
+            return std::make_unique<local_system>(FLAGS_local_listen, log);
+        });
 }
 
 } // namespace teaselward
--- a/src/cli/run_until_stopped.h
+++ b/src/cli/run_until_stopped.h
@@ -5,6 +5,7 @@
 #include "proc/signal_watch.h"
 #include "proc/stop_request.h"
 
+#include <functional>
 #include <iostream>
 #include <string>
 #include <system_error>
@@ -17,26 +18,39 @@
  * @param role name of the process in log lines and errors
  * @param logsDecisions whether log lines are written
  * @param ready line that is printed once the process has started
+ * @param reload called when the settings file has changed; returns a sentence for the log
  * @param make creates the process from its log; it may throw std::system_error
  * @return exit status
  */
 template<typename MakeProcess>
-int runUntilStopped(const std::string &role, bool logsDecisions, const std::string &ready, MakeProcess make)
+int runUntilStopped(const std::string &role, bool logsDecisions, const std::string &ready, const std::function<std::string()> &reload, MakeProcess make)
 {
     stop_request request;
+    stop_request reloads;
     // The signals must be blocked before any other thread starts.
-    const signal_watch signals([&request] {
-        request.signal();
-    });
+    const signal_watch signals(
+        [&request] {
+            request.signal();
+        },
+        [&reloads] {
+            reloads.signal();
+        });
     process_log log(role, logsDecisions);
+    reloads.connect([&log, &reload] {
+        log.write(log_part::process, "Reload. " + reload());
+    });
     try {
         const auto process = make(log);
-        request.connect([&process] {
+        request.connect([&process, &log] {
+            log.write(log_part::process, "Stopping by a signal.");
             process->requestStop();
         });
         std::cout << ready << std::endl;
+        log.write(log_part::process, "Started. " + ready);
         process->waitForStop();
         request.disconnect();
+        reloads.disconnect();
+        log.write(log_part::process, "Stopped.");
     } catch (const std::system_error &error) {
         std::cerr << role << ": " << error.what() << '\n';
         return exit_status::failure;
--- /dev/null
+++ b/src/config/route_follower.cpp
@@ -0,0 +1,163 @@
+#include "config/route_follower.h"
+
+#include "base/duty_thread.h"
+#include "config/route_rules.h"
+#include "core/concat.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+#include <absl/time/time.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Longest wait of one read. A connection that went silent is noticed this long after, well within the 2 s for a change.
+constexpr std::chrono::milliseconds ReadWait{700};
+
+// Delay before a failed read is repeated. A version is to be in force 2 s after its acceptance, and the store may be back at any time.
+constexpr std::chrono::milliseconds RetryDelay{250};
+
+} // namespace
+
+namespace detail
+{
+
+class route_follower_private
+{
+public:
+    route_follower_private(route_source &from, shared_routes &target, bounded_ring<entry_event> &decisions, peer_copy &others, decision_log &lines)
+        : source(from)
+        , routes(target)
+        , events(decisions)
+        , peers(others)
+        , log(lines)
+    {
+    }
+
+    // Duty of the thread.
+    void run()
+    {
+        std::optional<std::uint64_t> next;
+        while (!stopping.HasBeenNotified()) {
+            if (!readOnce(next)) {
+                next.reset();
+                takeFromPeer();
+                stopping.WaitForNotificationWithTimeout(absl::FromChrono(RetryDelay));
+            }
+        }
+    }
+
+    // Reads the newest version first, and then the changes. Returns false if the store gave no answer.
+    bool readOnce(std::optional<std::uint64_t> &next)
+    {
+        route_config found;
+        std::uint64_t position = next.value_or(0);
+        const std::error_code error = next ? source.wait(position, ReadWait, found) : source.newest(found, position);
+        if (error) {
+            reportLost(error);
+            return false;
+        }
+        if (isStoreLost) {
+            isStoreLost = false;
+            log.write(log_part::config, "The store answers again.");
+        }
+        next = position;
+        if (found.version > 0) {
+            apply(std::move(found), "store");
+        }
+        return true;
+    }
+
+    void reportLost(const std::error_code &error)
+    {
+        if (!isStoreLost) {
+            isStoreLost = true;
+            log.write(log_part::config, concat("The store does not answer; the routes in force stay. version=", version, " error=", error.message()));
+        }
+    }
+
+    void takeFromPeer()
+    {
+        const auto copy = peers.newest(version);
+        if (!copy) {
+            return;
+        }
+        route_config found;
+        if (const std::error_code error = source.decode(copy->text, found)) {
+            log.write(log_part::config, concat("Ignored routes of a peer. error=", error.message()));
+        } else {
+            apply(std::move(found), "peer");
+        }
+    }
+
+    void apply(route_config found, std::string_view origin)
+    {
+        if (found.version <= version) {
+            return;
+        }
+        version = found.version;
+        if (log.isEnabled()) {
+            log.write(log_part::config, concat("Applied routes. version=", version, " routes=", found.routes.size(), " from=", origin));
+        }
+        auto rules = std::make_shared<const rule_set>(routeRules(found));
+        {
+            const absl::MutexLock lock(&mutex);
+            copy = config_copy{found.version, found.text};
+        }
+        found.text.clear();
+        // The decisions learn of a kind before a listener can send one.
+        events.push(rules_applied{std::move(rules)});
+        routes.set(std::make_shared<const route_table>(std::move(found)));
+    }
+
+    route_source &source;
+    shared_routes &routes;
+    bounded_ring<entry_event> &events;
+    peer_copy &peers;
+    decision_log &log;
+    std::uint64_t version = 0;
+    bool isStoreLost = false;
+    mutable absl::Mutex mutex;
+    std::optional<config_copy> copy ABSL_GUARDED_BY(mutex);
+    absl::Notification stopping;
+    std::optional<duty_thread> thread;
+};
+
+} // namespace detail
+
+route_follower::route_follower(route_source &source, shared_routes &routes, bounded_ring<entry_event> &events, peer_copy &peers, decision_log &log)
+    : d(std::make_unique<detail::route_follower_private>(source, routes, events, peers, log))
+{
+    d->thread.emplace("routes", [this] {
+        d->run();
+    });
+}
+
+route_follower::~route_follower()
+{
+    stop();
+}
+
+std::optional<config_copy> route_follower::snapshot() const
+{
+    const absl::MutexLock lock(&d->mutex);
+    return d->copy;
+}
+
+void route_follower::stop()
+{
+    if (d->thread) {
+        d->stopping.Notify();
+        d->thread.reset();
+    }
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/config/route_follower.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/bounded_ring.h"
+#include "config/config_copy.h"
+#include "config/peer_copy.h"
+#include "config/route_source.h"
+#include "core/shared_routes.h"
+#include "job/entry_event.h"
+#include "log/decision_log.h"
+
+#include <memory>
+#include <optional>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class route_follower_private;
+}
+
+/** Thread that follows the routes in a store and brings each newer version into force at this entry; an older one never. */
+class route_follower
+{
+public:
+    /**
+     * Starts the thread.
+     * @param source client of the store, used by this thread only; it must outlive the follower
+     * @param routes receives the routes for the listeners; it must outlive the follower
+     * @param events ring of the decision thread, which gets rules_applied
+     * @param peers asked while the store cannot be read; it must outlive the follower
+     * @param log receiver of the log lines; it must outlive the follower
+     */
+    route_follower(route_source &source, shared_routes &routes, bounded_ring<entry_event> &events, peer_copy &peers, decision_log &log);
+    ~route_follower();
+
+    route_follower(const route_follower &) = delete;
+    route_follower &operator=(const route_follower &) = delete;
+
+    /** @return the routes in force for a peer, or nothing before the first version; any thread may call it */
+    std::optional<config_copy> snapshot() const;
+
+    /** Ends the thread after the call in progress. */
+    void stop();
+
+private:
+    std::unique_ptr<detail::route_follower_private> d;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/config/route_rules.cpp
@@ -0,0 +1,39 @@
+#include "config/route_rules.h"
+
+#include <cmath>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Ratio of the weights of neighbouring priorities. Each kind keeps a share, so that no flood of a prior one starves it.
+constexpr double PriorityRatio = 2;
+
+// Tasks of one kind that wait at an entry: more than a minute of work for a hundred slots.
+constexpr std::uint32_t QueueLimit = 8192;
+
+} // namespace
+
+rule_set routeRules(const route_config &config)
+{
+    rule_set rules;
+    rules.offset = config.version;
+    for (const route &one : config.routes) {
+        kind_rule rule;
+        rule.service = one.service;
+        rule.placedByService = true;
+        rule.restartable = true;
+        rule.attempts = one.attempts;
+        rule.weight = std::pow(PriorityRatio, -static_cast<double>(one.priority));
+        rule.queueLimit = QueueLimit;
+        if (one.timeLimit.count() > 0) {
+            rule.timeLimit = one.timeLimit;
+        }
+        rules.kinds.emplace(one.kind, std::move(rule));
+    }
+    return rules;
+}
+
+} // namespace teaselward
--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -69,6 +69,11 @@
         exchange->request.authorization = headerValue(connection, MHD_HTTP_HEADER_AUTHORIZATION);
         const char *wait = MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, "wait_ms");
         exchange->request.waitText = wait != nullptr ? wait : "";
+        for (const std::string &name : settings.headers) {
+            if (const char *value = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name.c_str()); value != nullptr) {
+                exchange->request.headers.emplace(name, value);
+            }
+        }
         return checkLength(*exchange);
     }
 
--- a/src/http/http_listener_settings.h
+++ b/src/http/http_listener_settings.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace teaselward
 {
@@ -15,6 +16,7 @@
     std::size_t bufferLimit = 0; ///< Bytes of all bodies that are being received.
     std::uint32_t connectionLimit = 0; ///< Connections at once.
     std::chrono::milliseconds idleTimeout{}; ///< A connection without traffic is closed after this time.
+    std::vector<std::string> headers{}; ///< Names of the headers that the handler reads.
 };
 
 } // namespace teaselward
--- a/src/http/pending_request.h
+++ b/src/http/pending_request.h
@@ -12,6 +12,7 @@
     http_exchange *exchange = nullptr;
     job_answer unanswered; ///< Answer if the adapter stops before the decisions have answered.
     status_view view = status_view::full; ///< Used if the state of the entry was requested.
+    bool isAbandoned = false; ///< The caller has closed the connection.
 };
 
 } // namespace teaselward
--- a/src/http/pending_requests.cpp
+++ b/src/http/pending_requests.cpp
@@ -1,5 +1,7 @@
 #include "http/pending_requests.h"
 
+#include "http/response_sender.h"
+
 #include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
 
@@ -53,6 +55,20 @@
     return request;
 }
 
+// The library does not watch suspended connections. Under the lock none of them can be resumed meanwhile.
+std::vector<std::uint64_t> pending_requests::takeAbandoned()
+{
+    const absl::MutexLock lock(&d->mutex);
+    std::vector<std::uint64_t> found;
+    for (auto &[number, request] : d->waiting) {
+        if (!request.isAbandoned && isClosedByPeer(*request.exchange)) {
+            request.isAbandoned = true;
+            found.push_back(number);
+        }
+    }
+    return found;
+}
+
 std::vector<pending_request> pending_requests::close()
 {
     const absl::MutexLock lock(&d->mutex);
--- a/src/http/pending_requests.h
+++ b/src/http/pending_requests.h
@@ -42,6 +42,12 @@
      */
     std::optional<pending_request> take(std::uint64_t number);
 
+    /**
+     * Finds the requests whose callers have closed their connections; each is returned once.
+     * @return their numbers
+     */
+    std::vector<std::uint64_t> takeAbandoned();
+
     /**
      * Accepts no further requests and removes all.
      * @return the requests that were waiting
--- /dev/null
+++ b/src/platform/client_headers.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Header by which a client tells how long it waits, in milliseconds. */
+constexpr const char *ClientWaitHeader = "Deadline-Ms";
+
+/** Header that names the host of a route. */
+constexpr const char *HostHeader = "Host";
+
+/** @return headers of clients that the front reads */
+inline std::vector<std::string> clientHeaders()
+{
+    return {HostHeader, ClientWaitHeader};
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/platform/heartbeat_codec.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "agent/run/endpoint_announcement.h"
+
+#include <optional>
+#include <string_view>
+
+namespace teaselward
+{
+
+/**
+ * Reads a heartbeat of a worker.
+ * @param id id of the worker
+ * @param text body of the heartbeat
+ * @return the announcement, or nothing if a member is missing, has another type or an unknown value
+ */
+std::optional<endpoint_announcement> decodeHeartbeat(std::string_view id, std::string_view text);
+
+} // namespace teaselward
--- a/src/platform/http_log.cpp
+++ b/src/platform/http_log.cpp
@@ -84,11 +84,17 @@
 constexpr long StatusOk = 200;
 constexpr long StatusGone = 410;
 constexpr long StatusTooLarge = 413;
+constexpr long StatusTooMany = 429;
 constexpr long StatusUnavailable = 503;
 
-std::string recordsPath(std::string_view stream)
+constexpr std::string_view AppendPath = "/teaselward/log-append";
+constexpr std::string_view ReadPath = "/teaselward/log-read";
+constexpr std::string_view NewestPath = "/teaselward/log-newest";
+
+// Streams and keyed topics of this project have one partition.
+std::string topicPath(std::string_view call, std::string_view topic)
 {
-    return "/streams/" + std::string(stream) + "/records";
+    return std::string(call) + "?Topic=" + std::string(topic) + "&part=0";
 }
 
 // Statuses that both requests share. Other statuses of the server's side leave open whether it has acted.
@@ -101,6 +107,7 @@
         return platform_error::belowRetention;
     case StatusTooLarge:
         return platform_error::tooLarge;
+    case StatusTooMany:
     case StatusUnavailable:
         return platform_error::unavailable;
     default:
@@ -139,10 +146,11 @@
     curl_easy_setopt(d->handle, CURLOPT_FORBID_REUSE, 1L);
     curl_easy_setopt(d->handle, CURLOPT_POST, 1L);
     curl_easy_setopt(d->handle, CURLOPT_HTTPHEADER, headers);
-    curl_easy_setopt(d->handle, CURLOPT_POSTFIELDS, body.data());
-    curl_easy_setopt(d->handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
+    const std::string record = encodeRecord(body);
+    curl_easy_setopt(d->handle, CURLOPT_POSTFIELDS, record.data());
+    curl_easy_setopt(d->handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(record.size()));
     long status = 0;
-    std::error_code error = d->perform(detail::recordsPath(stream), timeout, status);
+    std::error_code error = d->perform(detail::topicPath(detail::AppendPath, stream), timeout, status);
     curl_slist_free_all(headers);
     if (!error) {
         error = detail::statusError(status);
@@ -157,17 +165,45 @@
 {
     page = {};
     curl_easy_reset(d->handle);
-    const std::string path = detail::recordsPath(stream) + "?from=" + std::to_string(from) + "&wait_ms=" + std::to_string(wait.count());
+    const std::string path = detail::topicPath(detail::ReadPath, stream) + "&From=" + std::to_string(from - 1) + "&WaitMs=" + std::to_string(wait.count());
     long status = 0;
     std::error_code error = d->perform(path, wait + d->settings.readTimeout, status);
     if (!error) {
         error = detail::statusError(status);
     }
-    const bool hasPage = !error || error == platform_error::belowRetention;
-    if (hasPage && !decodePage(d->answer, page)) {
-        error = platform_error::badAnswer;
+    const bool isMalformed
+        = (!error && !decodePage(d->answer, from, page)) || (error == platform_error::belowRetention && !decodeBelowRetention(d->answer, page.first));
+    return isMalformed ? platform_error::badAnswer : error;
+}
+
+std::error_code http_log::newest(std::string_view topic, std::vector<keyed_record> &records, std::uint64_t &next)
+{
+    records.clear();
+    next = 0;
+    bool more = true;
+    while (more) {
+        curl_easy_reset(d->handle);
+        std::string path = detail::topicPath(detail::NewestPath, topic);
+        if (!records.empty()) {
+            path += "&DependsOn=" + records.back().key; // The store's name for the last key of the page before.
+        }
+        long status = 0;
+        std::error_code error = d->perform(path, d->settings.readTimeout, status);
+        if (!error) {
+            error = detail::statusError(status);
+        }
+        if (error) {
+            return error;
+        }
+        // Records that are appended while the pages are read come again with a read from the first page's end on.
+        std::uint64_t end = 0;
+        const std::size_t known = records.size();
+        if (!decodeNewest(d->answer, records, end, more) || (more && records.size() == known)) {
+            return platform_error::badAnswer;
+        }
+        next = next == 0 ? end : next;
     }
-    return error;
+    return {};
 }
 
 } // namespace teaselward
--- a/src/platform/http_log.h
+++ b/src/platform/http_log.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "platform/http_log_settings.h"
+#include "platform/keyed_record.h"
 #include "platform/platform_log.h"
 
 #include <memory>
+#include <vector>
 
 namespace teaselward
 {
@@ -13,7 +15,7 @@
 class http_log_private;
 }
 
-/** Client of the platform log over HTTP. It keeps one connection open; one thread at a time may call it. */
+/** Client of the platform's store over HTTP. It keeps one connection open; one thread at a time may call it. */
 class http_log : public platform_log
 {
 public:
@@ -31,6 +33,15 @@
     std::error_code append(std::string_view stream, std::string_view body, std::chrono::milliseconds timeout, std::uint64_t &offset) override;
     std::error_code read(std::string_view stream, std::uint64_t from, std::chrono::milliseconds wait, log_page &page) override;
 
+    /**
+     * Reads the newest record of each key of a keyed topic.
+     * @param topic name of the topic
+     * @param records set to the records
+     * @param next set to the offset from which read() finds what came later
+     * @return no error, or an error of the platform layer
+     */
+    std::error_code newest(std::string_view topic, std::vector<keyed_record> &records, std::uint64_t &next);
+
 private:
     std::unique_ptr<detail::http_log_private> d;
 };
--- /dev/null
+++ b/src/platform/job_api.cpp
@@ -0,0 +1,148 @@
+#include "platform/job_api.h"
+
+#include "core/concat.h"
+#include "core/reason_text.h"
+#include "http/http_exchange.h"
+#include "platform/client_headers.h"
+#include "platform/job_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+constexpr std::size_t IdLength = 16; // Hexadecimal digits.
+
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusMethodNotAllowed = 405;
+constexpr unsigned StatusGone = 410;
+constexpr unsigned StatusTooLarge = 413;
+constexpr unsigned StatusUnavailable = 503;
+
+// Tasks of one job; the largest known ones have 210.
+constexpr std::uint32_t TaskLimit = 4096;
+
+bool isId(std::string_view text)
+{
+    return text.size() == IdLength && std::ranges::all_of(text, [](char c) {
+               return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+           });
+}
+
+// Reads the time that a client waits; nothing if it does not tell.
+std::optional<std::chrono::milliseconds> clientWait(const http_request &request)
+{
+    const auto found = request.headers.find(ClientWaitHeader);
+    if (found == request.headers.end()) {
+        return std::nullopt;
+    }
+    std::int64_t value = 0;
+    const char *end = found->second.data() + found->second.size();
+    const auto [parsed, error] = std::from_chars(found->second.data(), end, value);
+    return error == std::errc() && parsed == end && value > 0 ? std::optional(std::chrono::milliseconds(value)) : std::nullopt;
+}
+
+} // namespace
+
+job_api::job_api(const shared_routes &routes, event_dispatcher &dispatcher, decision_log &log)
+    : m_routes(routes)
+    , m_dispatcher(dispatcher)
+    , m_log(log)
+{
+}
+
+bool job_api::handle(http_exchange &exchange)
+{
+    static constexpr std::array methods = {
+        method_row{"POST", &job_api::submit},
+        method_row{"GET", &job_api::query},
+        method_row{"DELETE", &job_api::cancel},
+    };
+    const http_request &request = exchange.request;
+    const auto routes = m_routes.get();
+    if (!routes) {
+        return refuse(exchange, StatusUnavailable, reason::draining, "no configuration yet", {});
+    }
+    const auto host = request.headers.find(HostHeader);
+    const route *found = host != request.headers.end() ? routes->find(host->second, request.path) : nullptr;
+    if (found == nullptr) {
+        return refuse(exchange, StatusNotFound, reason::unknownKind, "no such route", {});
+    }
+    const std::string_view id = std::string_view(request.path).substr(found->pathPrefix.size());
+    const auto row = std::ranges::find(methods, request.method, &method_row::method);
+    if (row == methods.end()) {
+        return refuse(exchange, StatusMethodNotAllowed, reason::malformed, "wrong method", id);
+    }
+    return (this->*row->handle)(exchange, *found, id);
+}
+
+// The tasks of a job share its specification.
+bool job_api::submit(http_exchange &exchange, const route &found, std::string_view id)
+{
+    job_body body;
+    const std::string error = decodeJob(exchange.request.body, body);
+    if (!error.empty() || !isId(id)) {
+        return refuse(exchange, StatusBadRequest, reason::malformed, error.empty() ? "the identifier is malformed" : error, id);
+    }
+    const job_step &step = body.steps.front();
+    if (!body.bestEffort || body.isRepeated || body.steps.size() != 1 || !step.isPlain || step.tasks > TaskLimit) {
+        return refuse(exchange, StatusUnavailable, reason::unknownKind, "this form of job is not supported", id);
+    }
+    keyed_job_submitted event;
+    event.job.kind = found.kind;
+    event.job.key = std::string(id);
+    event.job.timeLimit = clientWait(exchange.request).value_or(found.timeLimit);
+    event.job.payloads.assign(step.tasks, body.spec);
+    event.job.needs = step.needs;
+    event.job.estimate = step.estimate;
+    job_answer unanswered;
+    unanswered.state = job_state::failed;
+    unanswered.why = reason::outcomeUnknown;
+    return m_dispatcher.dispatch(exchange, std::move(event), unanswered, true);
+}
+
+// A best-effort job is answered by its submission only, so none is known afterwards.
+bool job_api::query(http_exchange &exchange, const route & /*found*/, std::string_view id)
+{
+    if (id.empty()) {
+        exchange.response = encodePendingCount(0);
+        return true;
+    }
+    return refuse(exchange, StatusGone, reason::unknownJob, "no such job", id);
+}
+
+bool job_api::cancel(http_exchange &exchange, const route & /*found*/, std::string_view id)
+{
+    return refuse(exchange, StatusGone, reason::unknownJob, "no such job", id);
+}
+
+bool job_api::refuse(http_exchange &exchange, unsigned status, reason why, std::string_view text, std::string_view id) const
+{
+    if (m_log.isEnabled()) {
+        const http_request &request = exchange.request;
+        m_log.write(log_part::http,
+                    concat("Refused a request. method=", request.method, " path=", request.path, " job=", id, " status=", status, " reason=", text));
+    }
+    exchange.response = encodeClientError(status, why, text);
+    return true;
+}
+
+http_response job_api::refuseBody(reason why)
+{
+    return encodeClientError(why == reason::tooLarge ? StatusTooLarge : StatusUnavailable, why, reasonText(why));
+}
+
+// The metrics count the jobs where they are decided.
+void job_api::finished(const http_response & /*response*/, bool /*delivered*/, std::chrono::microseconds /*duration*/)
+{
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/platform/job_front.cpp
@@ -0,0 +1,138 @@
+#include "platform/job_front.h"
+
+#include "base/duty_thread.h"
+#include "http/event_dispatcher.h"
+#include "http/http_listener.h"
+#include "http/pending_requests.h"
+#include "platform/client_headers.h"
+#include "platform/job_api.h"
+#include "platform/job_codec.h"
+#include "platform/readiness_api.h"
+
+#include <absl/synchronization/notification.h>
+#include <absl/time/time.h>
+
+#include <optional>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// A client that lost its connection sends its job again 1300 ms later; by then the runs of the first copy must have ended.
+constexpr std::chrono::milliseconds AbandonInterval{200};
+
+// Answers on their way to the reply thread.
+constexpr std::size_t ReplyCapacity = 4096;
+
+// The balancer opens few connections.
+constexpr std::uint32_t BalancerConnections = 32;
+
+} // namespace
+
+namespace detail
+{
+
+class job_front_private
+{
+public:
+    job_front_private(
+        const job_front_settings &settings, const shared_routes &routes, bounded_ring<entry_event> &decisions, std::function<bool()> isReady, decision_log &log)
+        : events(decisions)
+        , replies(ReplyCapacity)
+        , dispatcher(request_origin::client, pending, decisions)
+        , jobs(routes, dispatcher, log)
+        , readiness(std::move(isReady))
+    {
+        http_listener_settings common{settings.listen, settings.bodyLimit, settings.bufferLimit, settings.connectionLimit, settings.idleTimeout};
+        common.headers = clientHeaders();
+        clientListener.emplace(common, jobs, log);
+        common.listen = settings.readiness;
+        common.connectionLimit = BalancerConnections;
+        balancerListener.emplace(common, readiness, log);
+        replyThread.emplace("reply", [this] {
+            writeReplies();
+        });
+        abandonThread.emplace("abandon", [this] {
+            watchClients();
+        });
+    }
+
+    // Duty of the reply thread.
+    void writeReplies()
+    {
+        while (const auto reply = replies.pop()) {
+            if (const auto request = pending.take(reply->request.number)) {
+                resumeExchange(*request->exchange, encodeJobAnswer(reply->answer));
+            }
+        }
+        for (const pending_request &request : pending.close()) {
+            resumeExchange(*request.exchange, encodeJobAnswer(request.unanswered));
+        }
+    }
+
+    // Duty of the thread that looks for clients which closed their connections.
+    void watchClients()
+    {
+        while (!stopping.WaitForNotificationWithTimeout(absl::FromChrono(AbandonInterval))) {
+            for (const std::uint64_t number : pending.takeAbandoned()) {
+                events.push(request_abandoned{{request_origin::client, number}});
+            }
+        }
+    }
+
+    // The reply thread ends before the listeners stop, because the library allows no suspended connection at its end.
+    void stop()
+    {
+        if (!clientListener) {
+            return;
+        }
+        clientListener->quiesce();
+        stopping.Notify();
+        abandonThread.reset();
+        replies.close();
+        replyThread.reset();
+        clientListener->stop();
+        clientListener.reset();
+        balancerListener.reset();
+    }
+
+    bounded_ring<entry_event> &events;
+    bounded_ring<reply_job> replies;
+    pending_requests pending;
+    event_dispatcher dispatcher;
+    job_api jobs;
+    readiness_api readiness;
+    std::optional<http_listener> clientListener;
+    std::optional<http_listener> balancerListener;
+    absl::Notification stopping;
+    std::optional<duty_thread> replyThread;
+    std::optional<duty_thread> abandonThread;
+};
+
+} // namespace detail
+
+job_front::job_front(
+    const job_front_settings &settings, const shared_routes &routes, bounded_ring<entry_event> &events, std::function<bool()> isReady, decision_log &log)
+    : d(std::make_unique<detail::job_front_private>(settings, routes, events, std::move(isReady), log))
+{
+}
+
+job_front::~job_front()
+{
+    stop();
+}
+
+bool job_front::post(reply_job reply)
+{
+    return d->replies.push(std::move(reply));
+}
+
+void job_front::stop()
+{
+    d->stop();
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/platform/job_front.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "base/bounded_ring.h"
+#include "core/shared_routes.h"
+#include "job/action/reply_job.h"
+#include "job/entry_event.h"
+#include "log/decision_log.h"
+#include "platform/job_front_settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class job_front_private;
+}
+
+/** Front of an entry towards the platform's clients and its balancer: listeners, answers, and the watch for clients that leave. */
+class job_front
+{
+public:
+    /**
+     * Starts the threads.
+     * @param settings addresses and limits
+     * @param routes routes in force; they must outlive the front
+     * @param events ring of the decision thread
+     * @param isReady tells the balancer whether new connections are welcome; any thread may call it
+     * @param log receiver of the log lines; it must outlive the front
+     * @throws std::system_error if a listener cannot be opened
+     */
+    job_front(
+        const job_front_settings &settings, const shared_routes &routes, bounded_ring<entry_event> &events, std::function<bool()> isReady, decision_log &log);
+    ~job_front();
+
+    job_front(const job_front &) = delete;
+    job_front &operator=(const job_front &) = delete;
+
+    /**
+     * Answers a submission.
+     * @param reply the answer
+     * @return false after stop()
+     */
+    bool post(reply_job reply);
+
+    /** Sends the answers that are set and ends the threads; requests without an answer get a failure that says so. */
+    void stop();
+
+private:
+    std::unique_ptr<detail::job_front_private> d;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/platform/job_step.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/task_resources.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** Step of a job as a client submits it. */
+struct job_step {
+    std::uint32_t tasks = 0;
+    task_resources needs; ///< Of each task.
+    std::chrono::milliseconds estimate{}; ///< Rough run time of a task.
+    bool isPlain = true; ///< It asks for nothing else, such as a label, a rack or a gang.
+};
+
+} // namespace teaselward
--- a/src/platform/log_answer_codec.cpp
+++ b/src/platform/log_answer_codec.cpp
@@ -3,7 +3,9 @@
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
+#include <cstddef>
 #include <optional>
+#include <string>
 #include <utility>
 
 namespace teaselward
@@ -14,6 +16,9 @@
 
 using nlohmann::json;
 
+constexpr std::size_t LengthBytes = 4; // Before each record.
+constexpr std::size_t OffsetBytes = 8; // Two of them precede the records of a page.
+
 std::string toBase64(const std::string &body)
 {
     std::string text(sodium_base64_ENCODED_LEN(body.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
@@ -35,7 +40,41 @@
     return body;
 }
 
-// Reads an unsigned number. Returns false if the key is missing or holds anything else.
+// Writes a number in big-endian order.
+void putNumber(std::string &bytes, std::uint64_t value, std::size_t size)
+{
+    for (std::size_t shift = size * 8; shift > 0; shift -= 8) {
+        bytes.push_back(static_cast<char>(value >> (shift - 8) & 0xFFU));
+    }
+}
+
+// Takes a number off the front; false if too few bytes are left.
+bool takeNumber(std::string_view &bytes, std::size_t size, std::uint64_t &value)
+{
+    if (bytes.size() < size) {
+        return false;
+    }
+    value = 0;
+    for (std::size_t i = 0; i < size; ++i) {
+        value = value << 8U | static_cast<unsigned char>(bytes[i]);
+    }
+    bytes.remove_prefix(size);
+    return true;
+}
+
+// Takes a record off the front; false if it is not whole.
+bool takeRecord(std::string_view &bytes, std::string &body)
+{
+    std::uint64_t size = 0;
+    if (!takeNumber(bytes, LengthBytes, size) || bytes.size() < size) {
+        return false;
+    }
+    body = bytes.substr(0, size);
+    bytes.remove_prefix(size);
+    return true;
+}
+
+// Reads an offset of the wire. Returns false if the key is missing or holds anything else.
 bool readOffset(const json &object, const char *key, std::uint64_t &value)
 {
     if (!object.is_object()) {
@@ -45,69 +84,142 @@
     if (found == object.end() || !found->is_number_unsigned()) {
         return false;
     }
-    value = found->get<std::uint64_t>();
+    value = found->get<std::uint64_t>() + 1;
     return true;
 }
 
-// Reads one record, which must lie above the one before it.
-bool readRecord(const json &object, std::uint64_t above, log_record &record)
+bool readKeyed(const json &item, keyed_record &record)
 {
-    if (!readOffset(object, "offset", record.offset) || record.offset <= above) {
-        return false;
-    }
-    const auto body = object.find("body");
-    if (body == object.end() || !body->is_string()) {
+    if (!readOffset(item, "Offset", record.offset)) {
         return false;
     }
-    auto bytes = fromBase64(body->get_ref<const std::string &>());
-    if (!bytes) {
+    const auto key = item.find("Key");
+    const auto value = item.find("Value");
+    if (key == item.end() || !key->is_string() || value == item.end() || !value->is_string()) {
         return false;
     }
-    record.body = std::move(*bytes);
-    return true;
+    auto bytes = fromBase64(value->get_ref<const std::string &>());
+    record.key = key->get<std::string>();
+    record.value = bytes.value_or(std::string());
+    return bytes.has_value();
 }
 
 } // namespace
 
+std::string encodeRecord(std::string_view body)
+{
+    std::string bytes;
+    putNumber(bytes, body.size(), LengthBytes);
+    bytes += body;
+    return bytes;
+}
+
+bool decodeRecords(std::string_view bytes, std::vector<std::string> &bodies)
+{
+    while (!bytes.empty()) {
+        std::string body;
+        if (!takeRecord(bytes, body)) {
+            return false;
+        }
+        bodies.push_back(std::move(body));
+    }
+    return true;
+}
+
 std::string encodeAppendAnswer(std::uint64_t offset)
 {
-    return json{{"offset", offset}}.dump();
+    return json{{"Offset", offset - 1}, {"EndOffset", offset}}.dump();
 }
 
 bool decodeAppendAnswer(std::string_view text, std::uint64_t &offset)
 {
-    return readOffset(json::parse(text, nullptr, false), "offset", offset);
+    return readOffset(json::parse(text, nullptr, false), "Offset", offset);
 }
 
 std::string encodePage(const log_page &page)
 {
-    json records = json::array();
+    std::string bytes;
+    putNumber(bytes, page.next - 1, OffsetBytes);
+    putNumber(bytes, page.first - 1, OffsetBytes);
     for (const log_record &record : page.records) {
-        records.push_back({{"offset", record.offset}, {"body", toBase64(record.body)}});
+        bytes += encodeRecord(record.body);
     }
-    return json{{"records", std::move(records)}, {"first", page.first}, {"next", page.next}}.dump();
+    return bytes;
 }
 
-bool decodePage(std::string_view text, log_page &page)
+bool decodePage(std::string_view bytes, std::uint64_t from, log_page &page)
 {
     page = {};
+    if (!takeNumber(bytes, OffsetBytes, page.next) || !takeNumber(bytes, OffsetBytes, page.first)) {
+        return false;
+    }
+    ++page.next;
+    ++page.first;
+    while (!bytes.empty()) {
+        log_record record;
+        record.offset = from + page.records.size();
+        if (!takeRecord(bytes, record.body)) {
+            return false;
+        }
+        page.records.push_back(std::move(record));
+    }
+    return true;
+}
+
+std::string encodeBelowRetention(std::uint64_t first)
+{
+    return json{{"FirstOffset", first - 1}}.dump();
+}
+
+bool decodeBelowRetention(std::string_view text, std::uint64_t &first)
+{
+    return readOffset(json::parse(text, nullptr, false), "FirstOffset", first);
+}
+
+std::string encodeKeyed(const keyed_record &record)
+{
+    std::string bytes;
+    putNumber(bytes, record.key.size(), 1);
+    return bytes + record.key + record.value;
+}
+
+std::optional<keyed_record> decodeKeyed(std::string_view body, std::uint64_t offset)
+{
+    std::uint64_t size = 0;
+    if (!takeNumber(body, 1, size) || body.size() < size) {
+        return std::nullopt;
+    }
+    return keyed_record{std::string(body.substr(0, size)), std::string(body.substr(size)), offset};
+}
+
+std::string encodeNewest(const std::vector<keyed_record> &records, std::uint64_t next)
+{
+    json items = json::array();
+    for (const keyed_record &record : records) {
+        items.push_back({{"Key", record.key}, {"Value", toBase64(record.value)}, {"Offset", record.offset - 1}});
+    }
+    return json{{"items", std::move(items)}, {"HasMore", false}, {"EndOffset", next - 1}}.dump();
+}
+
+bool decodeNewest(std::string_view text, std::vector<keyed_record> &records, std::uint64_t &next, bool &more)
+{
     const json object = json::parse(text, nullptr, false);
-    if (!readOffset(object, "first", page.first) || !readOffset(object, "next", page.next)) {
+    if (!readOffset(object, "EndOffset", next)) {
         return false;
     }
-    const auto records = object.find("records");
-    if (records == object.end() || !records->is_array()) {
+    const auto items = object.find("items");
+    if (items == object.end() || !items->is_array()) {
         return false;
     }
-    std::uint64_t above = 0;
-    for (const json &entry : *records) {
-        log_record record;
-        if (!readRecord(entry, above, record)) {
+    for (const json &item : *items) {
+        keyed_record record;
+        if (!readKeyed(item, record)) {
             return false;
         }
-        above = record.offset;
-        page.records.push_back(std::move(record));
+        records.push_back(std::move(record));
     }
+    const auto flag = object.find("HasMore");
+    more = flag != object.end() && flag->is_boolean() && flag->get<bool>();
     return true;
 }
 
--- /dev/null
+++ b/src/platform/readiness_api.cpp
@@ -0,0 +1,48 @@
+#include "platform/readiness_api.h"
+
+#include "http/http_exchange.h"
+#include "platform/job_codec.h"
+
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+constexpr std::string_view Path = "/teaselward/ready";
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusTooLarge = 413;
+constexpr unsigned StatusUnavailable = 503;
+
+} // namespace
+
+readiness_api::readiness_api(std::function<bool()> isReady)
+    : m_isReady(std::move(isReady))
+{
+}
+
+bool readiness_api::handle(http_exchange &exchange)
+{
+    http_response response;
+    if (exchange.request.path != Path) {
+        response = encodeClientError(StatusNotFound, reason::malformed, "unknown path");
+    } else {
+        response.status = m_isReady() ? StatusOk : StatusUnavailable;
+    }
+    exchange.response = std::move(response);
+    return true;
+}
+
+http_response readiness_api::refuseBody(reason why)
+{
+    return encodeClientError(StatusTooLarge, why, "no body is expected");
+}
+
+void readiness_api::finished(const http_response & /*response*/, bool /*delivered*/, std::chrono::microseconds /*duration*/)
+{
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/platform/route_codec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/route_config.h"
+
+#include <string>
+
+namespace teaselward
+{
+
+/**
+ * Reads a version of the operators' configuration.
+ * @param text value of its record
+ * @param config set to the routes and the text
+ * @return false if the text is malformed; then the configuration must not be used
+ */
+bool decodeRoutes(const std::string &text, route_config &config);
+
+} // namespace teaselward
--- /dev/null
+++ b/src/platform/route_store.cpp
@@ -0,0 +1,80 @@
+#include "platform/route_store.h"
+
+#include "core/concat.h"
+#include "platform/log_answer_codec.h"
+#include "platform/platform_error.h"
+#include "platform/route_codec.h"
+
+#include <utility>
+#include <vector>
+
+namespace teaselward
+{
+
+namespace
+{
+
+constexpr std::string_view Topic = "keyed.op"; // Records of the operators.
+constexpr std::string_view ConfigKey = "config"; // Key of the newest configuration.
+
+} // namespace
+
+route_store::route_store(http_log &store, decision_log &log)
+    : m_store(store)
+    , m_log(log)
+{
+}
+
+// A record that cannot be read names no routes; the ones in force stay.
+void route_store::take(const keyed_record &record, route_config &found) const
+{
+    if (record.key != ConfigKey) {
+        return;
+    }
+    route_config decoded;
+    if (!decodeRoutes(record.value, decoded)) {
+        m_log.write(log_part::platform, concat("Ignored a malformed configuration. offset=", record.offset, " bytes=", record.value.size()));
+        return;
+    }
+    if (decoded.version > found.version) {
+        found = std::move(decoded);
+    }
+}
+
+std::error_code route_store::newest(route_config &found, std::uint64_t &next)
+{
+    found = {};
+    std::vector<keyed_record> records;
+    if (const std::error_code error = m_store.newest(Topic, records, next)) {
+        return error;
+    }
+    for (const keyed_record &record : records) {
+        take(record, found);
+    }
+    return {};
+}
+
+std::error_code route_store::wait(std::uint64_t &next, std::chrono::milliseconds wait, route_config &found)
+{
+    found = {};
+    log_page page;
+    if (const std::error_code error = m_store.read(Topic, next, wait, page)) {
+        return error;
+    }
+    for (const log_record &record : page.records) {
+        if (const auto keyed = decodeKeyed(record.body, record.offset)) {
+            take(*keyed, found);
+        } else {
+            m_log.write(log_part::platform, concat("Ignored a malformed record. offset=", record.offset, " bytes=", record.body.size()));
+        }
+        next = record.offset + 1;
+    }
+    return {};
+}
+
+std::error_code route_store::decode(const std::string &text, route_config &found) const
+{
+    return decodeRoutes(text, found) ? std::error_code() : make_error_code(platform_error::badAnswer);
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/platform/route_store.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "config/route_source.h"
+#include "log/decision_log.h"
+#include "platform/http_log.h"
+
+namespace teaselward
+{
+
+/** Routes as the operators publish them in the platform's store. */
+class route_store : public route_source
+{
+public:
+    /**
+     * Creates a reader.
+     * @param store client of the store; it must outlive the reader
+     * @param log receiver of the log lines; it must outlive the reader
+     */
+    route_store(http_log &store, decision_log &log);
+
+    std::error_code newest(route_config &found, std::uint64_t &next) override;
+    std::error_code wait(std::uint64_t &next, std::chrono::milliseconds wait, route_config &found) override;
+    std::error_code decode(const std::string &text, route_config &found) const override;
+
+private:
+    void take(const keyed_record &record, route_config &found) const;
+
+    http_log &m_store;
+    decision_log &m_log;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/src/platform/worker_client.cpp
@@ -0,0 +1,220 @@
+#include "platform/worker_client.h"
+
+#include "agent/run/run_supervisor.h"
+#include "base/duty_thread.h"
+#include "http/http_error.h"
+#include "platform/run_codec.h"
+#include "platform/worker_exchange.h"
+#include "platform/worker_order.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <atomic>
+#include <optional>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Longest sleep of the thread; orders wake it and the library shortens the sleep to its own timers.
+constexpr std::chrono::milliseconds PollLimit{500};
+
+} // namespace
+
+namespace detail
+{
+
+class worker_client_private
+{
+public:
+    worker_client_private(const worker_client_settings &clientSettings, std::function<void()> ready, std::function<void()> lost, decision_log &log)
+        : settings(clientSettings)
+        , onReady(std::move(ready))
+        , onLost(std::move(lost))
+        , orders(settings.ringCapacity)
+        , supervisor(settings.supervisor, mono_clock::now(), log)
+    {
+        multi = curl_multi_init();
+        if (multi == nullptr) {
+            throw std::system_error(http_error::clientFailed);
+        }
+        orders.setWaker([this] {
+            curl_multi_wakeup(multi);
+        });
+        thread.emplace("worker", [this] {
+            run();
+        });
+    }
+
+    ~worker_client_private()
+    {
+        for (auto &[handle, exchange] : active) {
+            curl_multi_remove_handle(multi, handle);
+        }
+        active.clear();
+        idle.clear();
+        curl_multi_cleanup(multi);
+    }
+
+    // Duty of the thread.
+    void run()
+    {
+        while (!orders.isFinished()) {
+            takeOrders();
+            supervisor.runTimers(mono_clock::now());
+            sendCalls();
+            int running = 0;
+            curl_multi_perform(multi, &running);
+            const bool answered = finishCalls();
+            report();
+            if (!answered) {
+                const auto left = std::chrono::ceil<std::chrono::milliseconds>(supervisor.nextDue() - mono_clock::now());
+                const auto sleep = std::clamp(left, std::chrono::milliseconds::zero(), PollLimit);
+                curl_multi_poll(multi, nullptr, 0, static_cast<int>(sleep.count()), nullptr);
+            }
+        }
+    }
+
+    void takeOrders()
+    {
+        while (auto order = orders.tryPop()) {
+            const mono_time now = mono_clock::now();
+            if (const auto *call = std::get_if<call_endpoint>(&*order)) {
+                supervisor.start(*call, now);
+            } else {
+                supervisor.stop(std::get<stop_call>(*order).id, now);
+            }
+        }
+    }
+
+    void sendCalls()
+    {
+        for (run_call &call : supervisor.takeCalls()) {
+            std::unique_ptr<worker_exchange> exchange;
+            if (idle.empty()) {
+                exchange = std::make_unique<worker_exchange>(settings);
+            } else {
+                exchange = std::move(idle.back());
+                idle.pop_back();
+            }
+            exchange->prepare(std::move(call));
+            CURL *handle = exchange->handle();
+            curl_multi_add_handle(multi, handle);
+            active.emplace(handle, std::move(exchange));
+        }
+    }
+
+    // Passes on the answers that have come. Returns whether there was any.
+    bool finishCalls()
+    {
+        bool any = false;
+        int left = 0;
+        while (const CURLMsg *message = curl_multi_info_read(multi, &left)) {
+            if (message->msg != CURLMSG_DONE) {
+                continue;
+            }
+            const CURLcode result = message->data.result;
+            CURL *handle = message->easy_handle; // The message is not valid after the handle is removed.
+            const auto found = active.find(handle);
+            std::unique_ptr<worker_exchange> exchange = std::move(found->second);
+            active.erase(found);
+            curl_multi_remove_handle(multi, handle);
+            apply(*exchange, exchange->result(result));
+            idle.push_back(std::move(exchange));
+            any = true;
+        }
+        return any;
+    }
+
+    void apply(const worker_exchange &exchange, call_result result)
+    {
+        const mono_time now = mono_clock::now();
+        if (const auto *start = std::get_if<start_run>(&exchange.call())) {
+            supervisor.startAnswered(start->id, result, now);
+        } else if (const auto *stop = std::get_if<stop_run>(&exchange.call())) {
+            supervisor.stopAnswered(stop->id, result, now);
+        } else {
+            run_lists lists;
+            lists.number = std::get<list_runs>(exchange.call()).number;
+            lists.result = result == call_result::accepted && !decodeLists(exchange.body(), lists) ? call_result::unanswered : result;
+            supervisor.listed(lists, now);
+        }
+    }
+
+    void report()
+    {
+        bounded_ring<agent_event> *const ring = events;
+        for (call_finished &end : supervisor.takeEnds()) {
+            if (ring != nullptr) {
+                ring->push(std::move(end));
+            }
+        }
+        if (!isReported && supervisor.isReady()) {
+            isReported = true;
+            onReady();
+        }
+        if (!isLostReported && supervisor.isLost()) {
+            isLostReported = true;
+            onLost();
+        }
+    }
+
+    const worker_client_settings settings;
+    std::function<void()> onReady;
+    std::function<void()> onLost;
+    bounded_ring<worker_order> orders;
+    run_supervisor supervisor;
+    CURLM *multi = nullptr;
+    std::atomic<bounded_ring<agent_event> *> events = nullptr;
+    bool isReported = false;
+    bool isLostReported = false;
+    absl::flat_hash_map<CURL *, std::unique_ptr<worker_exchange>> active;
+    std::vector<std::unique_ptr<worker_exchange>> idle;
+    std::optional<duty_thread> thread;
+};
+
+} // namespace detail
+
+worker_client::worker_client(const worker_client_settings &settings, std::function<void()> onReady, std::function<void()> onLost, decision_log &log)
+    : d(std::make_unique<detail::worker_client_private>(settings, std::move(onReady), std::move(onLost), log))
+{
+}
+
+worker_client::~worker_client()
+{
+    stop();
+}
+
+void worker_client::connect(bounded_ring<agent_event> &events)
+{
+    d->events = &events;
+}
+
+bool worker_client::post(call_endpoint &&call)
+{
+    worker_order order(std::move(call));
+    if (d->orders.tryPush(std::move(order))) {
+        return true;
+    }
+    call = std::move(std::get<call_endpoint>(order)); // NOLINT(bugprone-use-after-move): the ring moves from an item only if it takes it.
+    return false;
+}
+
+bool worker_client::post(stop_call &&stop)
+{
+    return d->orders.tryPush(worker_order(stop));
+}
+
+void worker_client::stop()
+{
+    d->orders.close();
+    d->thread.reset();
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/platform/worker_exchange.cpp
@@ -0,0 +1,149 @@
+#include "platform/worker_exchange.h"
+
+#include "http/http_error.h"
+#include "platform/run_codec.h"
+
+#include <system_error>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Bytes of one answer: 500 ends and the runs of a large machine.
+constexpr std::size_t AnswerLimit = 1 << 20;
+
+std::string pathOf(const start_run & /*call*/)
+{
+    return "/teaselward/run-start";
+}
+
+std::string pathOf(const stop_run & /*call*/)
+{
+    return "/teaselward/run-stop";
+}
+
+std::string pathOf(const list_runs & /*call*/)
+{
+    return "/teaselward/hold";
+}
+
+// Time that an answer may take beyond the limit of all calls.
+std::chrono::milliseconds waitOf(const run_call &call)
+{
+    const auto *list = std::get_if<list_runs>(&call);
+    return list != nullptr ? list->wait : std::chrono::milliseconds::zero();
+}
+
+} // namespace
+
+namespace detail
+{
+
+class worker_exchange_private
+{
+public:
+    explicit worker_exchange_private(const worker_client_settings &clientSettings)
+        : settings(clientSettings)
+        , handle(curl_easy_init())
+    {
+    }
+
+    ~worker_exchange_private()
+    {
+        curl_easy_cleanup(handle);
+        curl_slist_free_all(headers);
+    }
+
+    // Collects the body of the answer; a smaller return value makes the library give up the call.
+    static std::size_t receive(const char *data, std::size_t size, std::size_t count, void *self)
+    {
+        auto *exchange = static_cast<worker_exchange_private *>(self);
+        if (exchange->answer.size() + size * count > AnswerLimit) {
+            return 0;
+        }
+        exchange->answer.append(data, size * count);
+        return size * count;
+    }
+
+    const worker_client_settings &settings;
+    CURL *handle;
+    curl_slist *headers = nullptr;
+    run_call call;
+    std::string request;
+    std::string answer;
+};
+
+} // namespace detail
+
+worker_exchange::worker_exchange(const worker_client_settings &settings)
+    : d(std::make_unique<detail::worker_exchange_private>(settings))
+{
+    if (d->handle == nullptr) {
+        throw std::system_error(http_error::clientFailed);
+    }
+    for (const std::string &line : {std::string("Content-Type: application/json"), std::string("Expect:"), "Expected-Instance: " + settings.id}) {
+        curl_slist *list = curl_slist_append(d->headers, line.c_str());
+        if (list == nullptr) {
+            throw std::system_error(http_error::clientFailed);
+        }
+        d->headers = list;
+    }
+    CURL *handle = d->handle;
+    curl_easy_setopt(handle, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, d->headers);
+    curl_easy_setopt(handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &detail::worker_exchange_private::receive);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, d.get());
+}
+
+worker_exchange::~worker_exchange() = default;
+
+void worker_exchange::prepare(run_call call)
+{
+    d->call = std::move(call);
+    d->answer.clear();
+    const std::string url = std::visit(
+        [this](const auto &one) {
+            d->request = encodeCall(one);
+            return "http://" + d->settings.address + pathOf(one);
+        },
+        d->call);
+    curl_easy_setopt(d->handle, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(d->handle, CURLOPT_POSTFIELDS, d->request.data());
+    curl_easy_setopt(d->handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(d->request.size()));
+    curl_easy_setopt(d->handle, CURLOPT_TIMEOUT_MS, static_cast<long>((d->settings.callLimit + waitOf(d->call)).count()));
+}
+
+CURL *worker_exchange::handle() const
+{
+    return d->handle;
+}
+
+const run_call &worker_exchange::call() const
+{
+    return d->call;
+}
+
+// A repetition by the library over a connection that turned out to be closed is harmless: all calls may be repeated.
+call_result worker_exchange::result(CURLcode result) const
+{
+    if (result == CURLE_COULDNT_CONNECT) {
+        return call_result::unreachable;
+    }
+    long status = 0;
+    curl_easy_getinfo(d->handle, CURLINFO_RESPONSE_CODE, &status);
+    return result == CURLE_OK ? decodeResult(status, d->answer) : call_result::unanswered;
+}
+
+const std::string &worker_exchange::body() const
+{
+    return d->answer;
+}
+
+} // namespace teaselward
--- a/src/proc/entry_parts.cpp
+++ b/src/proc/entry_parts.cpp
@@ -46,6 +46,14 @@
     return result;
 }
 
+job_front_settings jobFrontSettings(const entry_settings &settings)
+{
+    job_front_settings result;
+    result.listen = settings.platformFront;
+    result.readiness = settings.platformReadiness;
+    return result;
+}
+
 config_follower_settings followerSettings(const entry_settings &settings)
 {
     config_follower_settings result;
--- a/src/proc/entry_parts.h
+++ b/src/proc/entry_parts.h
@@ -4,6 +4,7 @@
 #include "core/entry_info.h"
 #include "http/front_end_settings.h"
 #include "job/entry_core_settings.h"
+#include "platform/job_front_settings.h"
 #include "rpc/entry_rpc_settings.h"
 #include "settings/entry_settings.h"
 
@@ -37,6 +38,12 @@
  */
 entry_rpc_settings entryRpcSettings(const entry_settings &settings, const entry_info &self, snapshot_source &snapshots);
 
+/**
+ * Selects the settings of the front towards the platform's clients.
+ * @param settings settings of the process
+ */
+job_front_settings jobFrontSettings(const entry_settings &settings);
+
 /**
  * Selects the settings of the thread that follows the configuration.
  * @param settings settings of the process
--- a/src/proc/entry_process.cpp
+++ b/src/proc/entry_process.cpp
@@ -4,8 +4,12 @@
 #include "base/due_timer.h"
 #include "base/duty_thread.h"
 #include "config/config_follower.h"
+#include "config/route_follower.h"
+#include "core/shared_routes.h"
 #include "http/front_end.h"
 #include "job/entry_core.h"
+#include "platform/job_front.h"
+#include "platform/route_store.h"
 #include "proc/action_routes.h"
 #include "proc/duty_loop.h"
 #include "proc/entry_parts.h"
@@ -13,8 +17,10 @@
 #include "rpc/entry_rpc.h"
 
 #include <absl/synchronization/notification.h>
+#include <absl/time/time.h>
 
 #include <atomic>
+#include <optional>
 #include <type_traits>
 #include <utility>
 
@@ -29,23 +35,66 @@
 public:
     using loop = duty_loop<entry_core, entry_event, entry_action>;
 
+    entry_process_private(const entry_settings &given, const entry_info &self, http_log &platform, decision_log &log)
+        : entry_process_private(given, self, log)
+    {
+        if (given.platformStore.empty()) {
+            follow(platform, log);
+            return;
+        }
+        routeStore.emplace(platform, log);
+        routeFollower.emplace(*routeStore, routes, events, sharedConfig, log);
+        sharedConfig.setOwn([this] {
+            return routeFollower->snapshot();
+        });
+        jobFront.emplace(
+            jobFrontSettings(given),
+            routes,
+            events,
+            [this] {
+                return !stopRequested && routes.get() != nullptr;
+            },
+            log);
+    }
+
     entry_process_private(const entry_settings &given, const entry_info &self, platform_log &platform, decision_log &log)
+        : entry_process_private(given, self, log)
+    {
+        follow(platform, log);
+    }
+
+    entry_process_private(const entry_settings &given, const entry_info &self, decision_log &log)
         : settings(given)
         , core(coreSettings(given, self), mono_clock::now(), log)
         , frontEnd(frontEndSettings(given), events, log)
         , rpc(entryRpcSettings(given, self, sharedConfig), events, log)
-        , follower(followerSettings(given), platform, events, log, &sharedConfig)
     {
+    }
+
+    // Takes the configuration from a log of our own.
+    void follow(platform_log &platform, decision_log &log)
+    {
+        follower.emplace(followerSettings(settings), platform, events, log, &sharedConfig);
         sharedConfig.setOwn([this] {
-            return follower.snapshot();
+            return follower->snapshot();
         });
     }
 
     ~entry_process_private()
     {
+        abandonDrain.Notify();
+        drainThread.reset();
+        if (jobFront) {
+            jobFront->stop();
+        }
         frontEnd.stop();
         sharedConfig.setOwn(nullptr);
-        follower.stop();
+        if (follower) {
+            follower->stop();
+        }
+        if (routeFollower) {
+            routeFollower->stop();
+        }
         rpc.stop();
         timer.stop();
         events.close();
@@ -80,8 +129,12 @@
     // Sends an answer back the way its request came.
     bool toRequester(entry_action &action)
     {
-        const bool fromPeer = std::get<reply_job>(action).request.origin == request_origin::peer;
-        return fromPeer ? toRpc(action) : toFrontEnd(action);
+        auto &reply = std::get<reply_job>(action);
+        if (reply.request.origin == request_origin::client) {
+            jobFront->post(std::move(reply));
+            return true;
+        }
+        return reply.request.origin == request_origin::peer ? toRpc(action) : toFrontEnd(action);
     }
 
     bool toStop(entry_action & /*action*/)
@@ -105,12 +158,19 @@
     shared_config sharedConfig;
     front_end frontEnd;
     entry_rpc rpc;
-    config_follower follower;
+    shared_routes routes;
+    std::optional<config_follower> follower;
+    std::optional<route_store> routeStore;
+    std::optional<route_follower> routeFollower;
+    std::atomic<bool> stopRequested{false};
+    absl::Notification abandonDrain;
+    std::optional<duty_thread> drainThread;
     duty_thread decision{"decision", [this] {
                              loop(core, events, timer, [this](entry_action &action) {
                                  return action_routes<entry_process_private, entry_action>::deliver(*this, action);
                              }).run();
                          }};
+    std::optional<job_front> jobFront; ///< Set before the first request of a client can arrive.
 };
 
 } // namespace detail
@@ -120,11 +180,23 @@
 {
 }
 
+entry_process::entry_process(const entry_settings &settings, http_log &platform, decision_log &log)
+    : d(std::make_unique<detail::entry_process_private>(settings, entryInfo(settings), platform, log))
+{
+}
+
 entry_process::~entry_process() = default;
 
+// The balancer takes seconds to notice that the entry is not ready, and clients keep using their connections meanwhile.
 void entry_process::requestStop()
 {
-    d->events.push(drain_started{d->settings.drainBound});
+    if (d->stopRequested.exchange(true)) {
+        return;
+    }
+    d->drainThread.emplace("drain", [this] {
+        d->abandonDrain.WaitForNotificationWithTimeout(absl::FromChrono(d->settings.drainAccept));
+        d->events.push(drain_started{d->settings.drainBound});
+    });
 }
 
 void entry_process::waitForStop()
--- a/src/proc/signal_watch.cpp
+++ b/src/proc/signal_watch.cpp
@@ -21,6 +21,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     sigaddset(&signals, EndSignal);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
@@ -35,8 +36,9 @@
 class signal_watch_private
 {
 public:
-    explicit signal_watch_private(std::function<void()> call)
-        : requestStop(std::move(call))
+    signal_watch_private(std::function<void()> stop, std::function<void()> reloaded)
+        : requestStop(std::move(stop))
+        , reload(std::move(reloaded))
     {
     }
 
@@ -44,12 +46,13 @@
     {
         int number = 0;
         while (sigwait(&signals, &number) == 0 && number != EndSignal) {
-            requestStop();
+            (number == SIGHUP ? reload : requestStop)();
         }
     }
 
     sigset_t signals = blockSignals();
     std::function<void()> requestStop;
+    std::function<void()> reload;
     duty_thread thread{"signals", [this] {
                            run();
                        }};
@@ -57,8 +60,8 @@
 
 } // namespace detail
 
-signal_watch::signal_watch(std::function<void()> requestStop)
-    : d(std::make_unique<detail::signal_watch_private>(std::move(requestStop)))
+signal_watch::signal_watch(std::function<void()> requestStop, std::function<void()> reload)
+    : d(std::make_unique<detail::signal_watch_private>(std::move(requestStop), std::move(reload)))
 {
 }
 
--- a/src/proc/signal_watch.h
+++ b/src/proc/signal_watch.h
@@ -12,7 +12,7 @@
 }
 
 /**
- * Thread that waits for SIGTERM and SIGINT. It must be created before any other thread, so that every thread inherits the
+ * Thread that waits for SIGTERM, SIGINT and SIGHUP. It must be created before any other thread, so that every thread inherits the
  * blocked signals.
  */
 class signal_watch
@@ -20,9 +20,10 @@
 public:
     /**
      * Blocks the signals and starts the thread.
-     * @param requestStop called for each signal
+     * @param requestStop called for SIGTERM and SIGINT
+     * @param reload called for SIGHUP, which tells that the settings file has changed
      */
-    explicit signal_watch(std::function<void()> requestStop);
+    signal_watch(std::function<void()> requestStop, std::function<void()> reload);
     ~signal_watch();
 
     signal_watch(const signal_watch &) = delete;
--- /dev/null
+++ b/src/proc/watching_agent_process.cpp
@@ -0,0 +1,255 @@
+#include "proc/watching_agent_process.h"
+
+#include "agent/run/endpoint_watch.h"
+#include "base/bounded_ring.h"
+#include "base/duty_thread.h"
+#include "core/concat.h"
+#include "http/http_listener.h"
+#include "platform/heartbeat_api.h"
+#include "platform/worker_client.h"
+#include "proc/agent_process.h"
+#include "proc/incarnation.h"
+#include "proc/watch_event.h"
+
+#include <absl/synchronization/notification.h>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Heartbeats of one worker; each has one connection.
+constexpr std::uint32_t HeartbeatConnections = 64;
+constexpr std::size_t HeartbeatBytes = 64 * 1024;
+
+// A worker that drains ends its work within seconds; the bound only keeps its agent from waiting for ever.
+constexpr std::chrono::milliseconds DrainBound = std::chrono::minutes(5);
+
+// Records of runs on the platform serve repeated starts only, which come within the lease of a session.
+constexpr std::chrono::milliseconds Retention = std::chrono::seconds(30);
+
+// Time of day as the first fencing token: it is above that of an earlier agent unless the clock was set back since.
+std::uint64_t firstToken()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+} // namespace
+
+namespace detail
+{
+
+class watching_agent_process_private
+{
+public:
+    watching_agent_process_private(const agent_settings &given, decision_log &lines)
+        : settings(given)
+        , log(lines)
+        , watch(given.platformService)
+        , heartbeats(
+              [this](endpoint_announcement announcement) {
+                  events.tryPush(std::move(announcement));
+              },
+              [this](std::string id) {
+                  events.tryPush(endpoint_withdrawn{std::move(id)});
+              },
+              lines)
+    {
+        http_listener_settings listenerSettings{
+            settings.platformControl, HeartbeatBytes, HeartbeatBytes * HeartbeatConnections, HeartbeatConnections, std::chrono::minutes(1)};
+        thread.emplace("watch", [this] {
+            run();
+        });
+        try {
+            listener.emplace(listenerSettings, heartbeats, log);
+        } catch (...) {
+            events.close();
+            throw;
+        }
+    }
+
+    ~watching_agent_process_private()
+    {
+        listener.reset();
+        events.close();
+        thread.reset();
+    }
+
+    using handler = void (watching_agent_process_private::*)(watch_event &event);
+
+    // Duty of the thread that decides which endpoint is served.
+    void run()
+    {
+        using self = watching_agent_process_private;
+        // Indexed by the alternative of watch_event.
+        static constexpr std::array<handler, std::variant_size_v<watch_event>> handlers
+            = {&self::onAnnounced, &self::onWithdrawn, &self::onReady, &self::onLost, &self::onStop};
+        while (auto event = events.pop()) {
+            (this->*handlers.at(event->index()))(*event);
+        }
+        agent.reset();
+        client.reset();
+    }
+
+    void onAnnounced(watch_event &event)
+    {
+        const auto &announcement = std::get<endpoint_announcement>(event);
+        switch (watch.announced(announcement)) {
+        case watch_verdict::adopt:
+            if (!isStopping) {
+                adopt(announcement);
+            }
+            break;
+        case watch_verdict::drain:
+            log.write(log_part::member, concat("The endpoint drains. worker=", announcement.id));
+            if (agent) {
+                agent->requestStop(DrainBound);
+            }
+            break;
+        case watch_verdict::unchanged:
+            break;
+        }
+    }
+
+    void adopt(const endpoint_announcement &announcement)
+    {
+        endLife();
+        ++life;
+        log.write(log_part::member,
+                  concat("Adopting an endpoint. worker=",
+                         announcement.id,
+                         " born=",
+                         announcement.born.count(),
+                         " cpu_millis=",
+                         announcement.capacity.cpuMillis,
+                         " memory_mb=",
+                         announcement.capacity.memoryMb));
+        worker_client_settings clientSettings;
+        clientSettings.address = announcement.address;
+        clientSettings.id = announcement.id;
+        clientSettings.supervisor.fencingToken = firstToken();
+        clientSettings.supervisor.born = announcement.born;
+        client = std::make_unique<worker_client>(
+            clientSettings,
+            [this, number = life] {
+                events.push(endpoint_ready{number});
+            },
+            [this, number = life] {
+                events.push(endpoint_lost{number});
+            },
+            log);
+    }
+
+    void onReady(watch_event &event)
+    {
+        if (std::get<endpoint_ready>(event).life != life || !client || isStopping) {
+            return;
+        }
+        const endpoint_announcement &current = *watch.current();
+        log.write(log_part::member, concat("Serving an endpoint. worker=", current.id, " service=", current.service));
+        agent_core_settings core;
+        core.self.id = agent_id{makeIncarnation()};
+        core.self.address = current.address;
+        core.self.failureDomain = settings.failureDomain;
+        core.self.slots = std::max(1U, current.slots);
+        core.self.connections = settings.connections;
+        core.self.kinds = {current.service};
+        core.retention = Retention;
+        core.capacity = current.capacity;
+        core.sessionLease = settings.lease;
+        agent = std::make_unique<agent_process>(
+            settings,
+            core,
+            [this](bounded_ring<agent_event> &ring) {
+                client->connect(ring);
+                return std::move(client);
+            },
+            log);
+        if (current.isDraining) {
+            agent->requestStop(DrainBound);
+        }
+    }
+
+    void onLost(watch_event &event)
+    {
+        if (std::get<endpoint_lost>(event).life == life) {
+            watch.lost();
+            endLife();
+        }
+    }
+
+    void onWithdrawn(watch_event &event)
+    {
+        const std::string &id = std::get<endpoint_withdrawn>(event).id;
+        if (watch.withdrawn(id)) {
+            log.write(log_part::member, concat("The endpoint has left. worker=", id));
+            endLife();
+        }
+    }
+
+    // The ends of the runs are in the ring of the agent already, so it answers them before it stops.
+    void endLife()
+    {
+        if (agent) {
+            agent->requestStop(std::chrono::milliseconds::zero());
+            agent->waitForStop();
+            agent.reset();
+        }
+        client.reset();
+    }
+
+    void onStop(watch_event & /*event*/)
+    {
+        isStopping = true;
+        if (agent) {
+            agent->requestStop(settings.drainBound);
+            agent->waitForStop();
+        }
+        if (!stopped.HasBeenNotified()) {
+            stopped.Notify();
+        }
+    }
+
+    static constexpr std::size_t EventCapacity = 64;
+
+    const agent_settings settings;
+    decision_log &log;
+    bounded_ring<watch_event> events{EventCapacity};
+    endpoint_watch watch;
+    heartbeat_api heartbeats;
+    std::optional<http_listener> listener;
+    std::unique_ptr<worker_client> client; ///< Until its worker is ready; then the agent owns it.
+    std::unique_ptr<agent_process> agent;
+    std::uint64_t life = 0;
+    bool isStopping = false;
+    absl::Notification stopped;
+    std::optional<duty_thread> thread;
+};
+
+} // namespace detail
+
+watching_agent_process::watching_agent_process(const agent_settings &settings, decision_log &log)
+    : d(std::make_unique<detail::watching_agent_process_private>(settings, log))
+{
+}
+
+watching_agent_process::~watching_agent_process() = default;
+
+void watching_agent_process::requestStop()
+{
+    d->events.push(watch_stopped{});
+}
+
+void watching_agent_process::waitForStop()
+{
+    d->stopped.WaitForNotification();
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/proc/watching_agent_process.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "log/decision_log.h"
+#include "settings/agent_settings.h"
+
+#include <memory>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class watching_agent_process_private;
+}
+
+/**
+ * Agent beside a worker of the platform, which announces itself by heartbeats and may start anew at any time. Each life of the
+ * worker is served by an agent of its own, with an incarnation of its own.
+ */
+class watching_agent_process
+{
+public:
+    /**
+     * Starts all threads.
+     * @param settings checked settings
+     * @param log receiver of the log lines; it must outlive the process
+     * @throws std::system_error if the listener for heartbeats cannot be opened
+     */
+    watching_agent_process(const agent_settings &settings, decision_log &log);
+    ~watching_agent_process();
+
+    watching_agent_process(const watching_agent_process &) = delete;
+    watching_agent_process &operator=(const watching_agent_process &) = delete;
+
+    /** Begins the graceful shutdown. May be called from any thread and more than once. */
+    void requestStop();
+
+    /** Blocks until the graceful shutdown has ended. */
+    void waitForStop();
+
+private:
+    std::unique_ptr<detail::watching_agent_process_private> d;
+};
+
+} // namespace teaselward
--- a/src/settings/agent_settings.h
+++ b/src/settings/agent_settings.h
@@ -25,6 +25,8 @@
     std::chrono::milliseconds reconnectLimit = std::chrono::seconds(2);
     std::chrono::milliseconds retention = std::chrono::minutes(15);
     std::chrono::milliseconds drainBound = std::chrono::seconds(30);
+    std::string platformControl; ///< Address for the heartbeats of the platform's worker; empty for an endpoint of our own protocol.
+    std::string platformService; ///< Service of the worker.
 };
 
 } // namespace teaselward
--- a/src/settings/entry_settings.h
+++ b/src/settings/entry_settings.h
@@ -29,7 +29,11 @@
     std::string logStream = "teaselward-config";
     std::chrono::milliseconds logRetention = std::chrono::hours(24);
     std::chrono::milliseconds drainBound = std::chrono::seconds(30);
+    std::chrono::milliseconds drainAccept{}; ///< Requests are still accepted for this time after the stop was asked for.
     std::string strategy = "credits";
+    std::string platformStore; ///< Address of the platform's store; empty to follow our own log instead.
+    std::string platformFront; ///< Address for the platform's clients.
+    std::string platformReadiness; ///< Address for the platform's balancer.
 };
 
 } // namespace teaselward
--- a/src/settings/load_settings.cpp
+++ b/src/settings/load_settings.cpp
@@ -54,6 +54,13 @@
     const auto strategies = placementStrategyNames();
     const bool isStrategy = std::ranges::find(strategies, settings.strategy) != strategies.end();
     require(isStrategy, file, "placement.strategy", "no such strategy", result);
+    const bool onPlatform = !settings.platformStore.empty();
+    require(onPlatform == !settings.platformFront.empty() && onPlatform == !settings.platformReadiness.empty(),
+            file,
+            "platform.store",
+            "platform.store, platform.front and platform.readiness belong together",
+            result);
+    require(onPlatform || !settings.logUrl.empty(), file, "log.url", "missing", result);
     require(!open || settings.operatorsToken.size() >= ShortestSecret,
             file,
             "operators.token",
@@ -66,6 +73,7 @@
     const agent_settings &settings = result.settings;
     require(settings.role == "agent", file, RoleKey, "must be agent", result);
     require(settings.heartbeat * 2 <= settings.lease, file, "peers.heartbeat", "must be at most half of peers.lease", result);
+    require(settings.kinds.empty() != settings.platformControl.empty(), file, "endpoint.kinds", "missing, or not used with platform.control", result);
     require(settings.slots <= settings.connections, file, "endpoint.slots", "must be at most endpoint.connections", result);
 }
 
--- a/src/settings/settings_tables.cpp
+++ b/src/settings/settings_tables.cpp
@@ -33,10 +33,14 @@
     entry_row{"peers.heartbeat", form::duration, &entry_settings::heartbeat, false, 50, Minute, "sent after this time without another message"},
     entry_row{"tickets.key", form::text, &entry_settings::ticketKey, true, 0, 0, "secret shared by all entries"},
     entry_row{"tickets.lifetime", form::duration, &entry_settings::ticketLifetime, false, Second, 10 * Minute, "time in which a ticket may be used"},
-    entry_row{"log.url", form::text, &entry_settings::logUrl, true, 0, 0, "URL of the platform log"},
+    entry_row{"log.url", form::text, &entry_settings::logUrl, false, 0, 0, "URL of the platform log"},
     entry_row{"log.stream", form::text, &entry_settings::logStream, false, 0, 0, "stream of the configuration"},
     entry_row{"log.retention", form::duration, &entry_settings::logRetention, false, Minute, 8760 * Hour, "time that the platform keeps records"},
     entry_row{"drain.bound", form::duration, &entry_settings::drainBound, false, 0, Hour, "longest graceful shutdown"},
+    entry_row{"drain.accept", form::duration, &entry_settings::drainAccept, false, 0, Hour, "time in which a stopping entry still accepts jobs"},
+    entry_row{"platform.store", form::address, &entry_settings::platformStore, false, 0, 0, "store of the users' platform; it replaces the log"},
+    entry_row{"platform.front", form::address, &entry_settings::platformFront, false, 0, 0, "address for the clients of the platform"},
+    entry_row{"platform.readiness", form::address, &entry_settings::platformReadiness, false, 0, 0, "address for the balancer of the platform"},
     entry_row{"placement.strategy", form::text, &entry_settings::strategy, false, 0, 0, "credits, least_outstanding, two_choices or random"},
 };
 
@@ -45,7 +49,7 @@
     agent_row{"process.failure_domain", form::text, &agent_settings::failureDomain, true, 0, 0, "failure domain of this VM"},
     agent_row{"process.log_decisions", form::flag, &agent_settings::logDecisions, false, 0, 0, "write a line for each decision"},
     agent_row{"endpoint.address", form::address, &agent_settings::endpointAddress, true, 0, 0, "address of the endpoint"},
-    agent_row{"endpoint.kinds", form::names, &agent_settings::kinds, true, 0, 0, "kinds that the endpoint offers"},
+    agent_row{"endpoint.kinds", form::names, &agent_settings::kinds, false, 0, 0, "kinds that the endpoint offers"},
     agent_row{"endpoint.slots", form::number, &agent_settings::slots, false, 1, 1024, "tasks at once"},
     agent_row{"endpoint.connections", form::number, &agent_settings::connections, false, 1, 4096, "connections at once"},
     agent_row{"endpoint.result_limit", form::number, &agent_settings::resultLimit, false, 1024, MaxBytes, "bytes of one result"},
@@ -55,6 +59,8 @@
     agent_row{"peers.heartbeat", form::duration, &agent_settings::heartbeat, false, 50, Minute, "sent after this time without another message"},
     agent_row{"peers.reconnect_limit", form::duration, &agent_settings::reconnectLimit, false, 50, Minute, "longest delay between attempts"},
     agent_row{"ledger.retention", form::duration, &agent_settings::retention, false, 15 * Minute, 24 * Hour, "time that a record of a start is kept"},
+    agent_row{"platform.control", form::address, &agent_settings::platformControl, false, 0, 0, "address for the heartbeats of the platform's worker"},
+    agent_row{"platform.service", form::text, &agent_settings::platformService, false, 0, 0, "service of the platform's worker"},
     agent_row{"drain.bound", form::duration, &agent_settings::drainBound, false, 0, Hour, "longest graceful shutdown"},
 };
 
