Refuse jobs that would miss their response objective

Change: a kind has an objective (stretch and target); a job is refused at its arrival if the expected wait exceeds the slack, and when its slack has passed without a start; jobs of a kind are ordered by the end of their slack.

--- a/src/config/route_rules.cpp
+++ b/src/config/route_rules.cpp
@@ -26,6 +26,8 @@
         rule.placedByService = true;
         rule.restartable = true;
         rule.attempts = one.attempts;
+        rule.stretch = one.stretch;
+        rule.target = one.target;
         rule.weight = std::pow(PriorityRatio, -static_cast<double>(one.priority));
         rule.queueLimit = QueueLimit;
         if (one.timeLimit.count() > 0) {
--- a/src/job/job_admission.cpp
+++ b/src/job/job_admission.cpp
@@ -14,9 +14,10 @@
 {
 }
 
-std::optional<job_answer> job_admission::refuse(const job_request &job)
+job_verdict job_admission::judge(const job_request &job)
 {
-    std::optional<job_answer> refused = decide(job);
+    job_verdict verdict = decide(job);
+    const std::optional<job_answer> &refused = verdict.refused;
     if (m_context.log.isEnabled()) {
         m_context.log.write(log_part::admit,
                             concat(refused ? "Refused a job. " : "Admitted a job. ",
@@ -32,31 +33,34 @@
                                    " job=",
                                    job.key));
     }
-    return refused;
+    return verdict;
 }
 
 // Checks what needs no measured figures first.
-std::optional<job_answer> job_admission::decide(const job_request &job)
+job_verdict job_admission::decide(const job_request &job)
 {
     if (m_context.isDraining) {
-        return refusal(reason::draining);
+        return {refusal(reason::draining), {}};
     }
     if (!m_context.rules || !m_context.rules->kinds.contains(job.kind)) {
-        return refusal(reason::unknownKind);
+        return {refusal(reason::unknownKind), {}};
     }
     const kind_rule &rule = m_context.rules->kinds.find(job.kind)->second;
     if (job.payloads.empty() || job.payloads.size() > rule.taskLimit || job.timeLimit.count() < 0) {
-        return refusal(reason::malformed);
+        return {refusal(reason::malformed), {}};
     }
     if (!m_table.makeRoom(m_context.now)) {
-        return refusal(reason::overloaded, RoomRetry);
+        return {refusal(reason::overloaded, RoomRetry), {}};
     }
     const std::size_t slots = m_context.slots.slots(m_context.offerOf(job.kind));
     if (slots == 0) {
-        return refusal(reason::noEndpoint, RoomRetry);
+        return {refusal(reason::noEndpoint, RoomRetry), {}};
     }
     const admission_result admitted = m_context.queue.admit(job, slots, m_context.now);
-    return admitted.why == reason::none ? std::nullopt : std::optional(refusal(admitted.why, admitted.retryAfter));
+    if (admitted.why != reason::none) {
+        return {refusal(admitted.why, admitted.retryAfter), {}};
+    }
+    return {std::nullopt, admitted.patience};
 }
 
 } // namespace teaselward
--- a/src/job/job_admission.h
+++ b/src/job/job_admission.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "core/job_answer.h"
 #include "core/job_request.h"
 #include "job/entry_context.h"
 #include "job/job_table.h"
+#include "job/job_verdict.h"
 
 #include <chrono>
 #include <optional>
@@ -28,12 +28,12 @@
     /**
      * Decides on a new job and counts its tasks as in progress if it is accepted.
      * @param job the submission
-     * @return the refusal, or nothing if the job is accepted
+     * @return the verdict
      */
-    std::optional<job_answer> refuse(const job_request &job);
+    job_verdict judge(const job_request &job);
 
 private:
-    std::optional<job_answer> decide(const job_request &job);
+    job_verdict decide(const job_request &job);
 
     entry_context &m_context;
     job_table &m_table;
--- a/src/job/job_manager.cpp
+++ b/src/job/job_manager.cpp
@@ -45,7 +45,8 @@
     if (joinByKey(request, job, digest)) {
         return;
     }
-    if (std::optional<job_answer> refused = m_admission.refuse(job); refused) {
+    job_verdict judged = m_admission.judge(job);
+    if (std::optional<job_answer> &refused = judged.refused; refused) {
         if (m_context.log.isEnabled()) {
             m_context.log.write(
                 log_part::admit,
@@ -57,7 +58,7 @@
         m_context.reply(request, job.source.id, *std::move(refused));
         return;
     }
-    create(request, std::move(job), digest);
+    create(request, std::move(job), digest, judged.patience);
 }
 
 // Answers a resubmission of a ticket that is in use.
@@ -96,7 +97,7 @@
 }
 
 // Creates an admitted job and queues its tasks.
-void job_manager::create(const request_id &request, job_request job, const request_digest &digest)
+void job_manager::create(const request_id &request, job_request job, const request_digest &digest, std::optional<std::chrono::milliseconds> patience)
 {
     const kind_rule &rule = m_context.rules->kinds.find(job.kind)->second;
     const std::uint64_t sequence = job.source.id.sequence;
@@ -105,6 +106,10 @@
     created->digest = digest;
     created->deadline = m_context.now + (job.timeLimit.count() > 0 ? job.timeLimit : rule.timeLimit);
     created->deadlineTimer = m_deadlines.schedule(created->deadline, sequence);
+    if (patience) {
+        created->patience = *patience;
+        created->patienceTimer = m_patience.schedule(m_context.now + *patience, sequence);
+    }
     created->unfinished = job.payloads.size();
     created->queued = job.payloads.size();
     created->bytes = sizeof(job_record);
@@ -156,9 +161,16 @@
 void job_manager::abandon(const request_id &request)
 {
     job_record *job = m_table.findWaitedBy(request);
-    if (job != nullptr && job->restartable && job->waiters.size() == 1) {
+    if (job == nullptr || !job->restartable) {
+        return;
+    }
+    if (job->waiters.size() == 1) {
         fail(*job, reason::cancelled);
+        return;
     }
+    const auto left = std::ranges::find(job->waiters, request, &job_waiter::request);
+    m_context.reply(request, left->ticket, refusal(reason::cancelled));
+    job->waiters.erase(left);
 }
 
 job_record *job_manager::findRunning(const ticket_id &id)
@@ -226,6 +238,9 @@
                                    answer.notRun));
     }
     m_deadlines.cancel(job.deadlineTimer);
+    if (job.patienceTimer) {
+        m_patience.cancel(*job.patienceTimer);
+    }
     if (job.queued > 0) {
         m_context.queue.removeJob(id);
     }
@@ -243,6 +258,7 @@
 void job_manager::runTimers()
 {
     failOverdue();
+    refuseImpatient();
     m_waiters.runTimers(m_table);
     m_table.expire(m_context.now);
 }
@@ -265,9 +281,26 @@
     }
 }
 
+// Refuses the jobs that have not started and would be late for their callers even if they started now.
+void job_manager::refuseImpatient()
+{
+    while (const auto sequence = m_patience.takeDue(m_context.now)) {
+        job_record &job = *m_table.findRunning(*sequence);
+        job.patienceTimer.reset();
+        if (job.started == 0 && !job.hasRun) {
+            job_answer answer;
+            answer.state = job_state::failed;
+            answer.why = reason::overloaded;
+            answer.notRun = true;
+            answer.retryAfter = job.patience;
+            settle(job, answer);
+        }
+    }
+}
+
 mono_time job_manager::nextDue() const
 {
-    return std::min({m_deadlines.nextDue(), m_waiters.nextDue(), m_table.nextDue()});
+    return std::min({m_patience.nextDue(), m_deadlines.nextDue(), m_waiters.nextDue(), m_table.nextDue()});
 }
 
 std::size_t job_manager::runningCount() const
--- a/src/job/job_manager.h
+++ b/src/job/job_manager.h
@@ -98,11 +98,12 @@
 private:
     bool answerKnown(const request_id &request, const job_request &job);
     bool joinByKey(const request_id &request, const job_request &job, const request_digest &digest);
-    void create(const request_id &request, job_request job, const request_digest &digest);
+    void create(const request_id &request, job_request job, const request_digest &digest, std::optional<std::chrono::milliseconds> patience);
     job_record *findRunningOrJoined(std::uint64_t sequence);
     void collectUnwanted(const job_record &job, const ticket_id &id);
     void settle(job_record &job, const job_answer &answer);
     void failOverdue();
+    void refuseImpatient();
 
     entry_context &m_context;
     const ticket_book &m_tickets;
@@ -111,6 +112,7 @@
     waiter_book m_waiters;
     closed_tickets m_closed;
     timer_queue<std::uint64_t> m_deadlines; ///< Sequences of the running jobs.
+    timer_queue<std::uint64_t> m_patience; ///< Sequences of the running jobs that have an objective.
 };
 
 } // namespace teaselward
--- a/src/job/job_record.h
+++ b/src/job/job_record.h
@@ -6,8 +6,11 @@
 #include "job/task_record.h"
 #include "job/timer_queue.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace teaselward
@@ -19,6 +22,8 @@
     request_digest digest{};
     mono_time deadline{};
     timer_queue<std::uint64_t>::handle deadlineTimer;
+    std::chrono::milliseconds patience{}; ///< Without a start after this time the objective is missed; zero if there is none.
+    std::optional<timer_queue<std::uint64_t>::handle> patienceTimer;
     std::vector<task_record> tasks;
     std::size_t unfinished = 0; ///< Tasks without a result.
     std::size_t queued = 0; ///< Tasks in the queue.
--- /dev/null
+++ b/src/share/response_slack.cpp
@@ -0,0 +1,28 @@
+#include "share/response_slack.h"
+
+#include <algorithm>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Messages of a job that does not wait take this long from its arrival to its answer.
+constexpr std::chrono::milliseconds Overhead{20};
+
+// An objective that is tighter than the messages must not refuse every job.
+constexpr std::chrono::milliseconds LeastSlack{20};
+
+} // namespace
+
+std::optional<std::chrono::milliseconds> responseSlack(const kind_rule &rule, std::chrono::milliseconds runTime)
+{
+    if (rule.stretch <= 0) {
+        return std::nullopt;
+    }
+    const auto stretched = std::chrono::duration_cast<std::chrono::milliseconds>((rule.stretch - 1) * runTime);
+    return std::max(LeastSlack, stretched + rule.target - Overhead);
+}
+
+} // namespace teaselward
--- a/src/share/task_queue.cpp
+++ b/src/share/task_queue.cpp
@@ -38,6 +38,7 @@
     }
     d->admitted = job.source.id;
     d->admittedTasks = tasks;
+    d->admittedSlack = result.patience;
     kind.teams[team].admitted += tasks;
     kind.addInProgress(team, static_cast<std::int64_t>(tasks));
     d->quotas.add(job.team, static_cast<std::int64_t>(tasks));
--- a/src/share/task_queue_private.cpp
+++ b/src/share/task_queue_private.cpp
@@ -1,5 +1,7 @@
 #include "share/task_queue_private.h"
 
+#include "share/response_slack.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -91,10 +93,14 @@
     if (!fits) {
         return {reason::queueFull, retryTime(tasks * mean / usable)};
     }
+    const auto slack = responseSlack(kind.rule, expectedRun(kind, job));
     if (slots > 0 && kind.queued > 0 && kind.runTime.isReliable()) {
         const double weight = kind.order.weight(team);
         const double ahead = std::min<double>(kind.queued, queue.queued * std::max(1.0, kind.activeWeight / weight));
         const double wait = (ahead + tasks) * mean / usable;
+        if (slack && wait > std::chrono::duration<double>(*slack).count()) {
+            return {reason::deadlineUnreachable, retryTime(wait)};
+        }
         const double excess = WaitMargin * wait + RunMargin * mean - std::chrono::duration<double>(job.timeLimit).count();
         if (excess > 0) {
             return {reason::deadlineUnreachable, retryTime(excess)};
@@ -106,7 +112,17 @@
     if (!kind.failing.admits(now)) {
         return {reason::kindFailing, std::max(ShortestRetry, kind.failing.retryAfter(now))};
     }
-    return {};
+    return {reason::none, {}, slack};
+}
+
+// Declared run times are far off, and so is the mean of a kind whose jobs differ; together they are off by less.
+milliseconds task_queue_private::expectedRun(const kind_queue &kind, const job_request &job)
+{
+    const auto mean = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(kind.runTime.mean()));
+    if (job.estimate.count() == 0 || !kind.runTime.isReliable()) {
+        return std::max(mean, job.estimate);
+    }
+    return (mean + job.estimate) / 2;
 }
 
 // A job that arrives later overtakes only those that are due later, so that no job waits forever. The search from the back
@@ -119,8 +135,9 @@
     }
     const std::size_t kindNumber = kindIndex(task.kind);
     const std::size_t teamNumber = kinds[kindNumber].teamIndex(task.team, teamWeight(task.team));
-    const std::size_t tasks = std::min(task.id.ticket == admitted ? admittedTasks : 1, MostDelayed);
-    const mono_time due = now + tasks * DelayPerTask;
+    const bool isNew = task.id.ticket == admitted;
+    const std::size_t tasks = std::min(isNew ? admittedTasks : 1, MostDelayed);
+    const mono_time due = now + (isNew && admittedSlack ? *admittedSlack : milliseconds(tasks * DelayPerTask));
     auto &list = kinds[kindNumber].teams[teamNumber].jobs;
     auto before = list.end();
     while (before != list.begin() && std::prev(before)->due > due) {
--- a/src/share/task_queue_private.h
+++ b/src/share/task_queue_private.h
@@ -44,6 +44,9 @@
     /** Decides on a submission whose kind and team are known. */
     admission_result decide(kind_queue &kind, std::size_t team, const job_request &job, std::size_t slots, mono_time now);
 
+    /** @return expected run time of the longest task of a job */
+    static std::chrono::milliseconds expectedRun(const kind_queue &kind, const job_request &job);
+
     /** Finds the waiting part of a task's job or adds it to its team by its due time. */
     job_position findOrAddJob(const queued_task &task, mono_time now);
 
@@ -72,6 +75,7 @@
     std::size_t size = 0;
     ticket_id admitted; ///< Latest job admitted, whose tasks are pushed next.
     std::size_t admittedTasks = 0;
+    std::optional<std::chrono::milliseconds> admittedSlack; ///< Time that it may wait, if its kind has an objective.
     std::size_t entries = 1;
 };
 
--- /dev/null
+++ b/tests/job/restartable_jobs_test.cpp
@@ -0,0 +1,182 @@
+#include "job/entry_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/** Entry with a kind whose tasks may start again and whose jobs have an objective. */
+struct restartable_entry : entry_fixture {
+    restartable_entry()
+    {
+        auto rules = std::make_shared<rule_set>();
+        rules->offset = 2;
+        kind_rule rule;
+        rule.service = "register";
+        rule.placedByService = true;
+        rule.restartable = true;
+        rule.attempts = 2;
+        rule.stretch = 1.6;
+        rule.target = 60ms;
+        rules->kinds["check"] = rule;
+        handle(rules_applied{.rules = rules});
+    }
+
+    void joinWorker(std::uint64_t id, std::uint32_t credits = 8, const std::string &address = "10.1.0.1:1")
+    {
+        agent_info info = agentInfo(id, address);
+        info.kinds = {"register"};
+        handle(agent_joined{.info = info, .credits = credits, .lease = 600ms});
+    }
+
+    request_id submitKeyed(const std::string &key, std::size_t tasks = 1, std::chrono::milliseconds limit = 5s)
+    {
+        const request_id request = nextRequest();
+        job_request job = jobFor({}, tasks);
+        job.team.clear();
+        job.key = key;
+        job.timeLimit = limit;
+        job.estimate = 100ms;
+        job.needs = {.cpuMillis = 3000, .memoryMb = 64};
+        handle(keyed_job_submitted{.request = request, .job = job});
+        return request;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(restartable_jobs_test, restartable_entry)
+
+// Guards against a second job for a caller that sends the same one again.
+BOOST_AUTO_TEST_CASE(joinsASecondSubmissionOfAKey)
+{
+    joinWorker(1);
+    submitKeyed("0011");
+    const auto start = get<start_task>();
+    BOOST_TEST(start.order.key == "0011");
+    BOOST_TEST(start.order.id.attempt == 1U);
+    BOOST_TEST(start.order.restartable);
+    submitKeyed("0011");
+    BOOST_TEST(count<start_task>() == 0U);
+    succeed(start);
+    BOOST_TEST(count<reply_job>() == 2U);
+}
+
+// Guards against a job that fails with the first failure of a task, and against runs beyond the attempts of its kind.
+BOOST_AUTO_TEST_CASE(startsAFailedTaskAgainWithinItsAttempts)
+{
+    joinWorker(1);
+    submitKeyed("0011");
+    finish(get<start_task>(), outcome(task_verdict::failed, "", reason::taskFailed));
+    const auto second = get<start_task>();
+    BOOST_TEST(second.order.id.attempt == 2U);
+    finish(second, outcome(task_verdict::failed, "", reason::taskFailed));
+    BOOST_TEST(count<start_task>() == 0U);
+    BOOST_TEST((get<reply_job>().answer.why == reason::taskFailed));
+    BOOST_TEST(!get<reply_job>().answer.notRun);
+}
+
+// Guards against "not run" after a task has run, even if nothing of the job runs any more.
+BOOST_AUTO_TEST_CASE(neverSaysNotRunAfterAnInterruptedRun)
+{
+    joinWorker(1, 1);
+    submitKeyed("0011", 1, 500ms);
+    const auto start = get<start_task>();
+    handle(agent_lost{.agent = start.agent});
+    finish(start, outcome(task_verdict::interrupted, "", reason::outcomeUnknown), 0);
+    advance(500ms);
+    BOOST_TEST(!get<reply_job>().answer.notRun);
+}
+
+// Guards against a second run beside the first: the run at a lost agent counts until its leases have ended.
+BOOST_AUTO_TEST_CASE(waitsForTheLeasesOfALostAgent)
+{
+    joinWorker(1);
+    submitKeyed("0011");
+    const auto start = get<start_task>();
+    handle(agent_lost{.agent = start.agent});
+    joinWorker(2, 8, "10.1.0.2:1");
+    advance(1290ms);
+    BOOST_TEST(count<start_task>() == 0U);
+    advance(60ms);
+    BOOST_TEST(get<start_task>().agent.value == 2U);
+}
+
+// Guards against work for a caller that has left, and against a job that takes others with it.
+BOOST_AUTO_TEST_CASE(stopsTheRunsOfACallerThatLeaves)
+{
+    joinWorker(1);
+    const request_id first = submitKeyed("0011", 2);
+    const auto starts = all<start_task>();
+    BOOST_REQUIRE(starts.size() == 2U);
+    const request_id second = submitKeyed("0011", 2);
+    handle(request_abandoned{.request = first});
+    BOOST_TEST(count<stop_task>() == 0U); // The second request still waits for the job.
+    handle(request_abandoned{.request = second});
+    BOOST_TEST(count<stop_task>() == 2U);
+}
+
+// Guards against runs that go on after their job is answered.
+BOOST_AUTO_TEST_CASE(stopsTheRunsOfAJobThatIsAnswered)
+{
+    joinWorker(1);
+    const request_id request = submitKeyed("0011", 2);
+    const auto starts = all<start_task>();
+    handle(request_abandoned{.request = request});
+    const auto stops = all<stop_task>();
+    BOOST_REQUIRE(stops.size() == 2U);
+    BOOST_TEST((stops[0].id == starts[0].order.id));
+    BOOST_TEST((stops[1].id == starts[1].order.id));
+}
+
+// Replays an overload: one slot, and jobs of 100 ms that arrive every 50 ms. Without the objective in the admission, the queue grows
+// until every answer is late. Guards against late answers where early refusals would leave the rest in time.
+BOOST_AUTO_TEST_CASE(servesInTimeWhatItAdmitsInAnOverload)
+{
+    joinWorker(1, 1);
+    std::vector<std::pair<mono_time, start_task>> running;
+    std::map<std::uint64_t, mono_time> arrivals;
+    std::size_t inTime = 0;
+    std::size_t late = 0;
+    std::size_t refused = 0;
+    const auto take = [&] {
+        for (const auto &start : all<start_task>()) {
+            running.emplace_back(now + 100ms, start);
+        }
+        for (const auto &reply : all<reply_job>()) {
+            const auto objective = 100ms * 16 / 10 + 60ms;
+            const bool isServed = reply.answer.state == job_state::complete;
+            refused += isServed ? 0 : 1;
+            inTime += isServed && now - arrivals.at(reply.request.number) <= objective ? 1 : 0;
+            late += isServed && now - arrivals.at(reply.request.number) > objective ? 1 : 0;
+            BOOST_TEST((isServed || reply.answer.notRun));
+        }
+    };
+    for (int step = 0; step < 4000; ++step) {
+        if (step % 10 == 0) {
+            arrivals[submitKeyed("key " + std::to_string(step)).number] = now;
+            arrivals.rbegin()->second = now;
+            take();
+        }
+        advance(5ms);
+        take();
+        if (!running.empty() && running.front().first <= now) {
+            task_outcome done = outcome(task_verdict::succeeded);
+            done.runTime = 100ms;
+            const start_task start = running.front().second;
+            running.erase(running.begin());
+            finish(start, done);
+            take();
+        }
+    }
+    BOOST_TEST(inTime >= 180U); // Of 200 that the slot can run.
+    BOOST_TEST(late <= 10U);
+    BOOST_TEST(refused >= 180U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/share/response_slack_test.cpp
@@ -0,0 +1,27 @@
+#include "share/response_slack.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(response_slack_test)
+
+// Guards against kinds without an objective that are refused by one.
+BOOST_AUTO_TEST_CASE(aKindWithoutObjectiveHasNoSlack)
+{
+    BOOST_TEST(!responseSlack({}, 100ms).has_value());
+}
+
+// Guards against an objective that counts the run time itself as slack.
+BOOST_AUTO_TEST_CASE(leavesRoomForTheRunAndTheMessages)
+{
+    kind_rule rule;
+    rule.stretch = 1.6;
+    rule.target = 60ms;
+    BOOST_TEST((responseSlack(rule, 100ms) == 100ms));
+    rule.target = 0ms;
+    BOOST_TEST((responseSlack(rule, 10ms) == 20ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
