Test the path on the users' platform with stand-ins

Conclusion: late starts, a killed agent, SIGTERM, SIGHUP and routes that change are covered without the kit.

--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -1,5 +1,7 @@
 #include "process/deployment.h"
 
+#include "process/free_address.h"
+
 #include "process/http_caller.h"
 
 #include <absl/strings/str_cat.h>
@@ -25,34 +27,6 @@
 constexpr int WaitSteps = 1200;
 constexpr std::chrono::milliseconds WaitStep{50};
 
-// Asks the system for a free port. It may be given out again until a process binds it, so the caller compares.
-std::string anyFreeAddress()
-{
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto *generic = reinterpret_cast<sockaddr *>(&address);
-    const bool isBound = ::bind(descriptor, generic, size) == 0 && ::getsockname(descriptor, generic, &size) == 0;
-    ::close(descriptor);
-    if (!isBound) {
-        throw std::runtime_error("no free port");
-    }
-    return absl::StrCat("127.0.0.1:", ntohs(address.sin_port));
-}
-
-// Finds a free port that this program has not handed out before.
-std::string freeAddress()
-{
-    static std::set<std::string> used;
-    std::string address = anyFreeAddress();
-    while (!used.insert(address).second) {
-        address = anyFreeAddress();
-    }
-    return address;
-}
-
 std::string program(const std::string &name)
 {
     return (std::filesystem::path(Binary).parent_path() / name).string();
--- a/tests/process/http_caller.cpp
+++ b/tests/process/http_caller.cpp
@@ -42,6 +42,16 @@
     return perform(handle, url, timeout);
 }
 
+http_reply put(const std::string &url, const nlohmann::json &body)
+{
+    constexpr std::chrono::seconds timeout{1};
+    CURL *handle = curl_easy_init();
+    const std::string text = body.dump();
+    curl_easy_setopt(handle, CURLOPT_COPYPOSTFIELDS, text.c_str());
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, "PUT");
+    return perform(handle, url, timeout);
+}
+
 http_reply get(const std::string &url)
 {
     constexpr std::chrono::seconds timeout{10};
--- a/tests/process/http_caller.h
+++ b/tests/process/http_caller.h
@@ -17,6 +17,14 @@
  */
 http_reply post(const std::string &url, const nlohmann::json &body, std::chrono::milliseconds timeout = std::chrono::seconds(60));
 
+/**
+ * Sends a PUT request with a JSON body.
+ * @param url address with path
+ * @param body the body
+ * @return the response; its status is zero if there was none
+ */
+http_reply put(const std::string &url, const nlohmann::json &body);
+
 /**
  * Sends a GET request and waits for the answer.
  * @param url the URL
--- /dev/null
+++ b/tests/process/platform_deployment.cpp
@@ -0,0 +1,173 @@
+#include "process/platform_deployment.h"
+
+#include "platform/log_answer_codec.h"
+#include "process/free_address.h"
+#include "process/http_caller.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace teaselward::testing
+{
+
+namespace
+{
+
+// Longest wait for a condition; far above what a busy machine needs, so that no verdict depends on its speed.
+constexpr int WaitSteps = 600;
+constexpr std::chrono::milliseconds WaitStep{50};
+
+nlohmann::json routeTo(const std::string &prefix)
+{
+    return {{"Name", "r-" + prefix},
+            {"Host", "127.0.0.1"},
+            {"PathPrefix", "/" + prefix + "/"},
+            {"Type", "non_idempotent"},
+            {"TimeoutMs", 5000},
+            {"TargetCompletionMs", 60000},
+            {"Priority", 0},
+            {"Service", "register"},
+            {"Attempts", 4},
+            {"Stretch", 1.6}};
+}
+
+} // namespace
+
+platform_deployment::platform_deployment(std::uint32_t cpuMillis)
+    : m_folder(std::filesystem::temp_directory_path() / absl::StrCat("teaselward-platform-", ::getpid(), "-", reinterpret_cast<std::uintptr_t>(this)))
+    , m_front(freeAddress())
+    , m_readiness(freeAddress())
+    , m_peers(freeAddress())
+    , m_control(freeAddress())
+    , m_app(freeAddress())
+{
+    std::filesystem::create_directories(m_folder);
+    const std::string entrySettings = write(
+        "entry.ini",
+        absl::StrCat(
+            "[process]\nrole = entry\nfailure_domain = fd-1\n[callers]\nlisten = 127.0.0.1:0\n[tickets]\nkey = a-secret-of-the-tests\n[peers]\nlisten = ",
+            m_peers,
+            "\nlease = 2s\nheartbeat = 200ms\n[drain]\naccept = 500ms\nbound = 5s\n[platform]\nstore = ",
+            m_store.address(),
+            "\nfront = ",
+            m_front,
+            "\nreadiness = ",
+            m_readiness,
+            "\n"));
+    m_agentSettings = write("agent.ini",
+                            absl::StrCat("[process]\nrole = agent\nfailure_domain = fd-1\n[endpoint]\naddress = ",
+                                         m_app,
+                                         "\n[peers]\nentries = ",
+                                         m_peers,
+                                         "\nlease = 2s\nheartbeat = 200ms\nreconnect_limit = 200ms\n[platform]\ncontrol = ",
+                                         m_control,
+                                         "\nservice = register\n"));
+    m_entry = std::make_unique<child_process>(std::vector<std::string>{TEASELWARD_BINARY, "entry", "--settings=" + entrySettings});
+    restartAgent();
+    m_worker = std::make_unique<worker_stub>(m_app, m_control, cpuMillis);
+}
+
+platform_deployment::~platform_deployment()
+{
+    std::filesystem::remove_all(m_folder);
+}
+
+std::string platform_deployment::write(const std::string &name, const std::string &text) const
+{
+    const auto path = m_folder / name;
+    std::ofstream(path) << text;
+    return path.string();
+}
+
+void platform_deployment::publish(std::uint64_t version, bool extra)
+{
+    nlohmann::json routes = nlohmann::json::array({routeTo("check")});
+    if (extra) {
+        routes.push_back(routeTo("extra"));
+    }
+    const nlohmann::json config{{"Version", version}, {"Routes", routes}, {"Services", nlohmann::json::array()}};
+    std::uint64_t offset = 0;
+    if (m_store.log().append("keyed.op", encodeKeyed({.key = "config", .value = config.dump(), .offset = 0}), std::chrono::seconds(1), offset)) {
+        throw std::runtime_error("the store refused the routes");
+    }
+}
+
+void platform_deployment::restartAgent()
+{
+    m_agent.reset();
+    m_agent = std::make_unique<child_process>(std::vector<std::string>{TEASELWARD_BINARY, "agent", "--settings=" + m_agentSettings});
+}
+
+bool platform_deployment::waitForStatus(const std::string &path, long status) const
+{
+    for (int step = 0; step < WaitSteps; ++step) {
+        if (get(front() + path).status == status) {
+            return true;
+        }
+        std::this_thread::sleep_for(WaitStep);
+    }
+    return false;
+}
+
+void platform_deployment::waitUntilReady() const
+{
+    for (int step = 0; step < WaitSteps; ++step) {
+        if (get(readiness()).status == 200) {
+            return;
+        }
+        std::this_thread::sleep_for(WaitStep);
+    }
+    throw std::runtime_error("the entry is not ready");
+}
+
+void platform_deployment::waitUntilServing() const
+{
+    const nlohmann::json job{{"Spec", R"({"ms":1,"cpu":1000})"}, {"BestEffort", true}, {"Steps", {{{"Count", 1}, {"Cpu", 1000}, {"MemMb", 1}}}}};
+    for (int step = 0; step < WaitSteps; ++step) {
+        if (post(front() + absl::StrCat("/check/", absl::Hex(0xA000000000000000ULL + static_cast<std::uint64_t>(step))), job, std::chrono::seconds(10)).status
+            == 200) {
+            return;
+        }
+        std::this_thread::sleep_for(WaitStep);
+    }
+    throw std::runtime_error("no job is served");
+}
+
+std::string platform_deployment::front() const
+{
+    return "http://" + m_front;
+}
+
+std::string platform_deployment::readiness() const
+{
+    return "http://" + m_readiness + "/teaselward/ready";
+}
+
+child_process &platform_deployment::entry()
+{
+    return *m_entry;
+}
+
+child_process &platform_deployment::agent()
+{
+    return *m_agent;
+}
+
+worker_stub &platform_deployment::worker()
+{
+    return *m_worker;
+}
+
+log_server &platform_deployment::store()
+{
+    return m_store;
+}
+
+} // namespace teaselward::testing
--- /dev/null
+++ b/tests/process/platform_deployment.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "process/child_process.h"
+#include "support/log_server.h"
+#include "support/worker_stub.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <memory>
+#include <string>
+
+namespace teaselward::testing
+{
+
+/** An entry and an agent as processes on stand-ins of the users' platform: its store and one worker. */
+class platform_deployment
+{
+public:
+    /**
+     * Starts the processes.
+     * @param cpuMillis processors of the worker
+     */
+    explicit platform_deployment(std::uint32_t cpuMillis);
+    ~platform_deployment();
+
+    platform_deployment(const platform_deployment &) = delete;
+    platform_deployment &operator=(const platform_deployment &) = delete;
+
+    /** Publishes routes with the prefix /check/ and, if wanted, /extra/. @param version version of them @param extra whether /extra/ is there */
+    void publish(std::uint64_t version, bool extra = false);
+
+    /** Waits until the balancer may send clients. */
+    void waitUntilReady() const;
+
+    /** Waits until a job of one task is completed. */
+    void waitUntilServing() const;
+
+    /**
+     * Waits until a path gets a status.
+     * @param path the path
+     * @param status the status
+     * @return whether it came in time
+     */
+    bool waitForStatus(const std::string &path, long status) const;
+
+    /** Starts the agent again after it has ended. */
+    void restartAgent();
+
+    /** @return URL of the front without a path */
+    std::string front() const;
+
+    /** @return URL of the readiness */
+    std::string readiness() const;
+
+    child_process &entry();
+    child_process &agent();
+    worker_stub &worker();
+    log_server &store();
+
+private:
+    std::string write(const std::string &name, const std::string &text) const;
+
+    std::filesystem::path m_folder;
+    std::string m_front;
+    std::string m_readiness;
+    std::string m_peers;
+    std::string m_control;
+    std::string m_app;
+    std::string m_agentSettings;
+    log_server m_store;
+    std::unique_ptr<child_process> m_entry;
+    std::unique_ptr<child_process> m_agent;
+    std::unique_ptr<worker_stub> m_worker;
+};
+
+} // namespace teaselward::testing
--- /dev/null
+++ b/tests/process/platform_test.cpp
@@ -0,0 +1,170 @@
+#include "process/http_caller.h"
+#include "process/platform_deployment.h"
+
+#include "base/duty_thread.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <memory>
+#include <thread>
+#include <vector>
+
+using namespace teaselward;
+using namespace teaselward::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint32_t CpuMillis = 8000;
+
+nlohmann::json job(int tasks, int ms, bool bestEffort = true)
+{
+    return {{"Spec", nlohmann::json{{"ms", ms}, {"cpu", 3000}}.dump()},
+            {"BestEffort", bestEffort},
+            {"Steps", {{{"Count", tasks}, {"Cpu", 3000}, {"MemMb", 64}, {"EstimateMs", ms}}}}};
+}
+
+// Identifier of a job; each test uses numbers of its own.
+std::string id(int number)
+{
+    const std::string digits = std::to_string(number);
+    return "/check/" + std::string(16 - digits.size(), '0') + digits;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_test)
+
+// Guards against a path that works only between objects of one process, and against starts above the capacity of a worker.
+BOOST_AUTO_TEST_CASE(servesJobsThroughRealProcesses)
+{
+    platform_deployment system(CpuMillis);
+    BOOST_TEST(get(system.readiness()).status == 503);
+    BOOST_TEST(post(system.front() + id(1), job(1, 10), 5s).status == 503); // No configuration is there yet.
+    system.publish(3);
+    system.waitUntilReady();
+    system.waitUntilServing();
+    std::vector<long> statuses(6);
+    {
+        std::vector<std::unique_ptr<duty_thread>> callers;
+        for (int i = 0; i < 6; ++i) {
+            callers.push_back(std::make_unique<duty_thread>("caller", [&system, &statuses, i] {
+                statuses[static_cast<std::size_t>(i)] = post(system.front() + id(10 + i), job(4, 100), 20s).status;
+            }));
+        }
+    }
+    for (const long status : statuses) {
+        BOOST_TEST(status == 200);
+    }
+    BOOST_TEST(system.worker().violations().empty());
+}
+
+// Guards against requests that crash the front, hang, or start something although they are malformed.
+BOOST_AUTO_TEST_CASE(answersBadRequestsWithAStatedError)
+{
+    platform_deployment system(CpuMillis);
+    system.publish(3);
+    system.waitUntilReady();
+    BOOST_TEST(post(system.front() + "/other/0000000000000001", job(1, 1), 5s).status == 404);
+    BOOST_TEST(post(system.front() + "/check/short", job(1, 1), 5s).status == 400);
+    BOOST_TEST(post(system.front() + id(1), {{"Spec", 7}}, 5s).status == 400);
+    BOOST_TEST(post(system.front() + id(1), {{"Spec", "x"}, {"Steps", nlohmann::json::array()}}, 5s).status == 400);
+    BOOST_TEST(post(system.front() + id(1), {{"Spec", std::string(300000, 'x')}}, 5s).status == 413);
+    BOOST_TEST(post(system.front() + id(1), job(1, 1, false), 5s).status == 503); // Kept jobs are not supported.
+    BOOST_TEST(get(system.front() + "/check/").body.at("PendingCount") == 0);
+    BOOST_TEST(get(system.front() + id(1)).status == 410);
+    BOOST_TEST(system.worker().begun() == 0U);
+}
+
+// Guards against a version that is not applied, that is lost behind a foreign record, or that reverts to an older one.
+BOOST_AUTO_TEST_CASE(followsTheRoutesAndNeverReverts)
+{
+    platform_deployment system(CpuMillis);
+    system.publish(3);
+    system.waitUntilReady();
+    BOOST_TEST(get(system.front() + "/extra/").status == 404);
+    std::uint64_t offset = 0;
+    BOOST_REQUIRE(!system.store().log().append("keyed.op", "no record", 1s, offset));
+    system.publish(7, true);
+    BOOST_TEST(system.waitForStatus("/extra/", 200));
+    system.publish(5, false);
+    system.publish(8, true);
+    std::this_thread::sleep_for(300ms);
+    BOOST_TEST(get(system.front() + "/extra/").status == 200);
+    system.store().setFaults({.isDown = true});
+    system.publish(9, false);
+    std::this_thread::sleep_for(300ms);
+    BOOST_TEST(get(system.front() + "/extra/").status == 200);
+    system.store().setFaults({});
+    BOOST_TEST(system.waitForStatus("/extra/", 404));
+}
+
+// Guards against the late execution of a start beside the next attempt, and against a job that is lost with its answer.
+BOOST_AUTO_TEST_CASE(survivesStartsThatAreCarriedOutLate)
+{
+    platform_deployment system(CpuMillis);
+    system.publish(3);
+    system.waitUntilServing();
+    system.worker().executeLate(1, 1200ms);
+    const auto reply = post(system.front() + id(1), job(2, 2000), 20s);
+    BOOST_TEST(reply.status == 200);
+    BOOST_TEST(reply.body.at("State") == "completed");
+    BOOST_TEST(system.worker().violations().empty());
+}
+
+// Guards against runs of a killed agent that go on beside those of the next one.
+BOOST_AUTO_TEST_CASE(clearsTheWorkerAfterItsAgentWasKilled)
+{
+    platform_deployment system(CpuMillis);
+    system.publish(3);
+    system.waitUntilServing();
+    long status = 0;
+    {
+        duty_thread caller("caller", [&] {
+            status = post(system.front() + id(1), job(2, 1500), 20s).status;
+        });
+        std::this_thread::sleep_for(500ms);
+        system.agent().signal(SIGKILL);
+        system.agent().wait();
+        system.restartAgent();
+    }
+    BOOST_TEST((status == 200 || status == 504));
+    BOOST_TEST(system.worker().violations().empty());
+}
+
+// Guards against a stop that cuts off a job in progress, and against one that ends with an error.
+BOOST_AUTO_TEST_CASE(theEntryDrainsOnTerm)
+{
+    platform_deployment system(CpuMillis);
+    system.publish(3);
+    system.waitUntilServing();
+    long status = 0;
+    {
+        duty_thread caller("caller", [&] {
+            status = post(system.front() + id(1), job(2, 1000), 20s).status;
+        });
+        std::this_thread::sleep_for(300ms);
+        system.entry().signal(SIGTERM);
+        std::this_thread::sleep_for(100ms);
+        BOOST_TEST(get(system.readiness()).status != 200);
+    }
+    BOOST_TEST(status == 200);
+    BOOST_TEST(system.entry().wait() == 0);
+}
+
+// Guards against SIGHUP, which by default ends a process.
+BOOST_AUTO_TEST_CASE(goesOnAfterHangup)
+{
+    platform_deployment system(CpuMillis);
+    system.publish(3);
+    system.waitUntilServing();
+    system.entry().signal(SIGHUP);
+    system.agent().signal(SIGHUP);
+    std::this_thread::sleep_for(100ms);
+    BOOST_TEST(post(system.front() + id(1), job(1, 10), 20s).status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/support/worker_stub.cpp
@@ -0,0 +1,390 @@
+#include "support/worker_stub.h"
+
+#include "base/duty_thread.h"
+#include "process/http_caller.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+#include <absl/time/time.h>
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string_view>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+using clock = std::chrono::steady_clock;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::chrono::milliseconds HeartbeatInterval{100};
+constexpr std::chrono::milliseconds LongestLease{1000};
+constexpr unsigned Conflict = 409;
+
+/** Run in progress. */
+struct stub_run {
+    int attempt = 0;
+    std::uint32_t cpuMillis = 0;
+    clock::time_point begin;
+    clock::time_point end;
+    bool fails = false;
+};
+
+/** Start that got no answer and is carried out later. */
+struct late_start {
+    clock::time_point due;
+    json order;
+};
+
+MHD_Result reply(MHD_Connection *connection, unsigned status, const json &body)
+{
+    const std::string text = body.dump();
+    MHD_Response *response = MHD_create_response_from_buffer(text.size(), const_cast<char *>(text.data()), MHD_RESPMEM_MUST_COPY);
+    const MHD_Result result = MHD_queue_response(connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+} // namespace
+
+namespace detail
+{
+
+class worker_stub_private
+{
+public:
+    worker_stub_private(std::string ownAddress, std::string agentAddress, std::uint32_t cpu)
+        : address(std::move(ownAddress))
+        , agent(std::move(agentAddress))
+        , cpuMillis(cpu)
+    {
+    }
+
+    json clockBody() const
+    {
+        return {{"ClockMs", std::chrono::duration_cast<milliseconds>(clock::now() - birth).count()}, {"born", 1000}};
+    }
+
+    // Ends what is over and begins what is late; the rest of the stand-in sees a consistent state then.
+    void advance() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        const auto now = clock::now();
+        for (auto it = lateStarts.begin(); it != lateStarts.end();) {
+            if (it->due <= now) {
+                begin(it->order);
+                it = lateStarts.erase(it);
+            } else {
+                ++it;
+            }
+        }
+        for (auto it = runs.begin(); it != runs.end();) {
+            const bool isOver = it->second.end <= now;
+            if (isOver || leaseEnd <= now) {
+                end(it->first, it->second, !isOver ? "lapsed" : it->second.fails ? "failed" : "done");
+                it = runs.erase(it);
+            } else {
+                ++it;
+            }
+        }
+    }
+
+    void end(const std::string &name, const stub_run &run, const std::string &how) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        ended.push_back({++lastEnd, name, run.attempt, how, ""});
+        highest[name] = std::max(highest[name], run.attempt);
+    }
+
+    void extend(const json &body) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        if (body.contains("DeadlineMs")) {
+            const auto asked = birth + milliseconds(body.at("DeadlineMs").get<std::int64_t>());
+            leaseEnd = std::max(leaseEnd, std::min(asked, clock::now() + LongestLease));
+        }
+    }
+
+    // Tells why the calls of an older agent are refused.
+    bool isFenced(const json &body) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        const auto given = body.value("FenceToken", std::uint64_t{0});
+        if (given < token) {
+            return true;
+        }
+        token = given;
+        return false;
+    }
+
+    // Carries out a start; returns the reason of a refusal, or nothing.
+    std::optional<std::string> begin(const json &order) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        const auto name = order.at("Task").get<std::string>();
+        const int attempt = order.at("Attempt").get<int>();
+        if (isFenced(order)) {
+            return "fence";
+        }
+        extend(order);
+        if (const auto found = runs.find(name); found != runs.end()) {
+            if (found->second.attempt != attempt) {
+                violations.push_back("two runs of " + name);
+            }
+            return std::nullopt;
+        }
+        if (attempt <= highest[name]) {
+            return "old";
+        }
+        const json spec = json::parse(order.at("Spec").get<std::string>());
+        stub_run run;
+        run.attempt = attempt;
+        run.cpuMillis = spec.at("cpu").get<std::uint32_t>();
+        run.begin = clock::now();
+        run.fails = fails;
+        run.end = run.begin + milliseconds(fails ? 0 : spec.at("ms").get<int>());
+        std::uint32_t used = run.cpuMillis;
+        for (const auto &[other, one] : runs) {
+            used += one.cpuMillis;
+        }
+        if (used > cpuMillis) {
+            violations.push_back("over capacity by " + name);
+        }
+        runs.emplace(name, run);
+        ++begun;
+        return std::nullopt;
+    }
+
+    MHD_Result start(MHD_Connection *connection, const json &body)
+    {
+        const absl::MutexLock lock(&mutex);
+        advance();
+        if (lateCount > 0) {
+            --lateCount;
+            lateStarts.push_back({clock::now() + lateDelay, body});
+            return MHD_NO;
+        }
+        json answer = clockBody();
+        if (const auto refused = begin(body)) {
+            answer["Reason"] = *refused;
+            return reply(connection, Conflict, answer);
+        }
+        return reply(connection, MHD_HTTP_OK, answer);
+    }
+
+    MHD_Result stop(MHD_Connection *connection, const json &body)
+    {
+        const absl::MutexLock lock(&mutex);
+        advance();
+        const auto name = body.at("Task").get<std::string>();
+        const int attempt = body.at("Attempt").get<int>();
+        if (const auto found = runs.find(name); found != runs.end() && found->second.attempt <= attempt) {
+            end(name, found->second, "stopped");
+            runs.erase(found);
+        }
+        highest[name] = std::max(highest[name], attempt);
+        return reply(connection, MHD_HTTP_OK, clockBody());
+    }
+
+    MHD_Result hold(MHD_Connection *connection, const json &body)
+    {
+        const auto until = clock::now() + milliseconds(body.value("WaitMs", 0));
+        absl::ReleasableMutexLock lock(&mutex);
+        if (isFenced(body)) {
+            json answer = clockBody();
+            answer["Reason"] = "fence";
+            return reply(connection, Conflict, answer);
+        }
+        extend(body);
+        const auto seen = body.value("AckCursor", std::uint64_t{0});
+        std::erase_if(ended, [seen](const json &row) {
+            return row.at(0).get<std::uint64_t>() <= seen;
+        });
+        advance();
+        while (ended.empty() && clock::now() < until) {
+            changed.WaitWithTimeout(&mutex, absl::Milliseconds(5));
+            advance();
+        }
+        json answer = clockBody();
+        answer["Finished"] = ended;
+        answer["Running"] = json::array();
+        for (const auto &[name, run] : runs) {
+            const auto percent = 100 * (clock::now() - run.begin) / std::max(run.end - run.begin, clock::duration(1));
+            answer["Running"].push_back({name, run.attempt, "", percent, run.cpuMillis});
+        }
+        lock.Release();
+        return reply(connection, MHD_HTTP_OK, answer);
+    }
+
+    // Duty of the heartbeat thread.
+    void beat()
+    {
+        std::uint64_t sequence = 0;
+        while (!stopping.WaitForNotificationWithTimeout(absl::FromChrono(HeartbeatInterval))) {
+            const json body{{"Service", "register"},
+                            {"Address", address},
+                            {"Zone", "fd-1"},
+                            {"Version", "v1"},
+                            {"Slots", 4},
+                            {"State", isDraining() ? "draining" : "ready"},
+                            {"ColdRemainingMs", 0},
+                            {"Capacity", {{"Cpu", cpuMillis}, {"MemMb", 4096}, {"Gpu", 0}}},
+                            {"Labels", json::array()},
+                            {"ClockMs", 1},
+                            {"born", 1000},
+                            {"Sequence", ++sequence}};
+            testing::put("http://" + agent + "/teaselward/instances/i-1", body);
+        }
+    }
+
+    bool isDraining()
+    {
+        const absl::MutexLock lock(&mutex);
+        return draining;
+    }
+
+    static MHD_Result handle(
+        void *self, MHD_Connection *connection, const char *url, const char *method, const char *version, const char *data, std::size_t *size, void **request);
+
+    const std::string address;
+    const std::string agent;
+    const std::uint32_t cpuMillis;
+    const clock::time_point birth = clock::now() - std::chrono::seconds(50);
+    mutable absl::Mutex mutex;
+    absl::CondVar changed;
+    std::map<std::string, stub_run> runs ABSL_GUARDED_BY(mutex);
+    std::map<std::string, int> highest ABSL_GUARDED_BY(mutex); ///< Attempts that were stopped or have ended.
+    std::vector<json> ended ABSL_GUARDED_BY(mutex);
+    std::vector<late_start> lateStarts ABSL_GUARDED_BY(mutex);
+    std::vector<std::string> violations ABSL_GUARDED_BY(mutex);
+    std::uint64_t lastEnd ABSL_GUARDED_BY(mutex) = 0;
+    std::uint64_t token ABSL_GUARDED_BY(mutex) = 0;
+    clock::time_point leaseEnd ABSL_GUARDED_BY(mutex) = clock::now();
+    std::size_t begun ABSL_GUARDED_BY(mutex) = 0;
+    int lateCount ABSL_GUARDED_BY(mutex) = 0;
+    milliseconds lateDelay ABSL_GUARDED_BY(mutex){};
+    bool fails ABSL_GUARDED_BY(mutex) = false;
+    bool draining ABSL_GUARDED_BY(mutex) = false;
+    MHD_Daemon *daemon = nullptr;
+    absl::Notification stopping;
+    std::unique_ptr<duty_thread> heartbeats;
+};
+
+MHD_Result worker_stub_private::handle(void *self,
+                                       MHD_Connection *connection,
+                                       const char *url,
+                                       const char * /*method*/,
+                                       const char * /*version*/,
+                                       const char *data,
+                                       std::size_t *size,
+                                       void **request)
+{
+    auto *stub = static_cast<worker_stub_private *>(self);
+    if (*request == nullptr) {
+        *request = new std::string();
+        return MHD_YES;
+    }
+    auto *text = static_cast<std::string *>(*request);
+    if (*size != 0) {
+        text->append(data, *size);
+        *size = 0;
+        return MHD_YES;
+    }
+    const std::string_view path = url;
+    const json body = json::parse(*text, nullptr, false);
+    if (path == "/teaselward/run-start") {
+        return stub->start(connection, body);
+    }
+    if (path == "/teaselward/run-stop") {
+        return stub->stop(connection, body);
+    }
+    return path == "/teaselward/hold" ? stub->hold(connection, body) : reply(connection, MHD_HTTP_NOT_FOUND, json::object());
+}
+
+} // namespace detail
+
+worker_stub::worker_stub(std::string address, std::string agent, std::uint32_t cpuMillis)
+    : d(std::make_unique<detail::worker_stub_private>(std::move(address), std::move(agent), cpuMillis))
+{
+    sockaddr_in bound{};
+    const std::size_t colon = d->address.rfind(':');
+    bound.sin_family = AF_INET;
+    bound.sin_port = htons(static_cast<std::uint16_t>(std::stoi(d->address.substr(colon + 1))));
+    inet_pton(AF_INET, d->address.substr(0, colon).c_str(), &bound.sin_addr);
+    const auto complete = [](void * /*self*/, MHD_Connection * /*connection*/, void **request, MHD_RequestTerminationCode /*code*/) {
+        delete static_cast<std::string *>(*request);
+        *request = nullptr;
+    };
+    d->daemon = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+                                 0,
+                                 nullptr,
+                                 nullptr,
+                                 &detail::worker_stub_private::handle,
+                                 d.get(),
+                                 MHD_OPTION_SOCK_ADDR,
+                                 reinterpret_cast<sockaddr *>(&bound),
+                                 MHD_OPTION_NOTIFY_COMPLETED,
+                                 static_cast<MHD_RequestCompletedCallback>(complete),
+                                 nullptr,
+                                 MHD_OPTION_END);
+    if (d->daemon == nullptr) {
+        throw std::runtime_error("cannot listen on " + d->address);
+    }
+    d->heartbeats = std::make_unique<duty_thread>("beats", [this] {
+        d->beat();
+    });
+}
+
+worker_stub::~worker_stub()
+{
+    d->stopping.Notify();
+    d->heartbeats.reset();
+    MHD_stop_daemon(d->daemon);
+}
+
+void worker_stub::executeLate(int starts, std::chrono::milliseconds delay)
+{
+    const absl::MutexLock lock(&d->mutex);
+    d->lateCount = starts;
+    d->lateDelay = delay;
+}
+
+void worker_stub::setFailing(bool fails)
+{
+    const absl::MutexLock lock(&d->mutex);
+    d->fails = fails;
+}
+
+void worker_stub::setDraining(bool drains)
+{
+    const absl::MutexLock lock(&d->mutex);
+    d->draining = drains;
+}
+
+std::size_t worker_stub::begun() const
+{
+    const absl::MutexLock lock(&d->mutex);
+    return d->begun;
+}
+
+std::size_t worker_stub::running() const
+{
+    const absl::MutexLock lock(&d->mutex);
+    d->advance();
+    return d->runs.size();
+}
+
+std::vector<std::string> worker_stub::violations() const
+{
+    const absl::MutexLock lock(&d->mutex);
+    return d->violations;
+}
+
+} // namespace teaselward
