--- a/src/agent/endpoint_port.h
+++ b/src/agent/endpoint_port.h
@@ -24,7 +24,7 @@
      * @param stop the task
      * @return false if the ring of the adapter is full
      */
-    virtual bool post(stop_call &&stop) = 0;
+    virtual bool post(const stop_call &stop) = 0;
 
     /** Takes no further calls and waits for those in progress. */
     virtual void stop() = 0;
--- a/src/http/endpoint_client.cpp
+++ b/src/http/endpoint_client.cpp
@@ -186,7 +186,7 @@
     return false;
 }
 
-bool endpoint_client::post(stop_call && /*stop*/)
+bool endpoint_client::post(const stop_call & /*stop*/)
 {
     return true;
 }
--- a/src/http/endpoint_client.h
+++ b/src/http/endpoint_client.h
@@ -47,7 +47,7 @@
      * @param stop the task
      * @return true
      */
-    bool post(stop_call &&stop) override;
+    bool post(const stop_call &stop) override;
 
     /** Waits for calls in progress and ends the thread. */
     void stop() override;
--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -101,6 +101,9 @@
         } else {
             exchange.peerClosed = isClosedByPeer(exchange);
         }
+        if (exchange.response && closesConnections) {
+            exchange.response->closesConnection = true;
+        }
         return !exchange.response || sendResponse(exchange) ? MHD_YES : MHD_NO;
     }
 
@@ -174,6 +177,7 @@
     MHD_Daemon *daemon = nullptr;
     int descriptor = -1;
     bool quiesced = false;
+    std::atomic<bool> closesConnections = false;
     std::atomic<std::int64_t> connections = 0;
     body_buffer bodies;
     std::string address;
@@ -233,6 +237,11 @@
     return d->connections;
 }
 
+void http_listener::closeAfterResponses()
+{
+    d->closesConnections = true;
+}
+
 void http_listener::quiesce()
 {
     if (d->daemon != nullptr && !d->quiesced) {
--- a/src/http/http_listener.h
+++ b/src/http/http_listener.h
@@ -39,6 +39,9 @@
     /** @return number of open connections */
     std::int64_t connections() const;
 
+    /** Closes each connection after its next response, so that clients move to other processes. Any thread may call it. */
+    void closeAfterResponses();
+
     /** Accepts no further connections. */
     void quiesce();
 
--- a/src/http/response_sender.cpp
+++ b/src/http/response_sender.cpp
@@ -36,6 +36,9 @@
     if (!response.allow.empty()) {
         MHD_add_response_header(message, MHD_HTTP_HEADER_ALLOW, response.allow.c_str());
     }
+    if (response.closesConnection) {
+        MHD_add_response_header(message, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
     if (response.status == MHD_HTTP_UNAUTHORIZED) {
         MHD_add_response_header(message, MHD_HTTP_HEADER_WWW_AUTHENTICATE, "Bearer");
     }
--- a/src/job/entry_core_events.cpp
+++ b/src/job/entry_core_events.cpp
@@ -63,6 +63,9 @@
 void entry_core_private::onAgentJoined(const agent_joined &event)
 {
     const agent_id &agent = event.info.id;
+    if (m_context.log.isEnabled()) {
+        m_context.log.write(log_part::member, concat("An agent joined. agent=", agent.value, " address=", event.info.address, " slots=", event.info.slots));
+    }
     if (const auto former = m_agents.join(event.info); former) {
         m_agents.leave(*former);
         m_context.slots.leave(*former);
@@ -76,6 +79,9 @@
 
 void entry_core_private::onAgentLost(const agent_lost &event)
 {
+    if (m_context.log.isEnabled()) {
+        m_context.log.write(log_part::member, concat("Lost an agent. agent=", event.agent.value, " starts=", m_placer.outstanding()));
+    }
     m_agents.leave(event.agent);
     m_context.slots.leave(event.agent);
     m_placer.connectionLost(event.agent);
@@ -84,6 +90,9 @@
 // The agent still answers the starts that it accepted, so its placements stay.
 void entry_core_private::onAgentLeaving(const agent_leaving &event)
 {
+    if (m_context.log.isEnabled()) {
+        m_context.log.write(log_part::member, concat("An agent leaves. agent=", event.agent.value));
+    }
     m_agents.leave(event.agent);
     m_context.slots.leave(event.agent);
 }
--- a/src/job/job_admission.cpp
+++ b/src/job/job_admission.cpp
@@ -31,7 +31,13 @@
                                    " reason=",
                                    reasonText(refused ? refused->why : reason::none),
                                    " job=",
-                                   job.key));
+                                   job.key,
+                                   " slots=",
+                                   m_context.slots.slots(m_context.offerOf(job.kind)),
+                                   " queued=",
+                                   m_context.queue.size(),
+                                   " rules=",
+                                   m_context.rules ? m_context.rules->offset : 0));
     }
     return verdict;
 }
--- a/src/platform/job_front.cpp
+++ b/src/platform/job_front.cpp
@@ -130,6 +130,11 @@
     return d->replies.push(std::move(reply));
 }
 
+void job_front::beginDrain()
+{
+    d->clientListener->closeAfterResponses();
+}
+
 void job_front::stop()
 {
     d->stop();
--- a/src/platform/job_front.h
+++ b/src/platform/job_front.h
@@ -45,6 +45,9 @@
      */
     bool post(reply_job reply);
 
+    /** Moves the clients to other entries: each connection is closed after its next answer. Any thread may call it. */
+    void beginDrain();
+
     /** Sends the answers that are set and ends the threads; requests without an answer get a failure that says so. */
     void stop();
 
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -206,7 +206,7 @@
     return false;
 }
 
-bool worker_client::post(stop_call &&stop)
+bool worker_client::post(const stop_call &stop)
 {
     return d->orders.tryPush(worker_order(stop));
 }
--- a/src/platform/worker_client.h
+++ b/src/platform/worker_client.h
@@ -44,7 +44,7 @@
     void connect(bounded_ring<agent_event> &events);
 
     bool post(call_endpoint &&call) override;
-    bool post(stop_call &&stop) override;
+    bool post(const stop_call &stop) override;
     void stop() override;
 
 private:
--- a/src/proc/agent_process.cpp
+++ b/src/proc/agent_process.cpp
@@ -68,7 +68,7 @@
 
     bool toStopCall(agent_action &action)
     {
-        return endpoint->post(std::move(std::get<stop_call>(action)));
+        return endpoint->post(std::get<stop_call>(action));
     }
 
     bool toRpc(agent_action &action)
--- a/src/proc/entry_process.cpp
+++ b/src/proc/entry_process.cpp
@@ -193,6 +193,9 @@
     if (d->stopRequested.exchange(true)) {
         return;
     }
+    if (d->jobFront) {
+        d->jobFront->beginDrain();
+    }
     d->drainThread.emplace("drain", [this] {
         d->abandonDrain.WaitForNotificationWithTimeout(absl::FromChrono(d->settings.drainAccept));
         d->events.push(drain_started{d->settings.drainBound});
--- a/src/proc/watching_agent_process.cpp
+++ b/src/proc/watching_agent_process.cpp
@@ -26,7 +26,7 @@
 
 // Heartbeats of one worker; each has one connection.
 constexpr std::uint32_t HeartbeatConnections = 64;
-constexpr std::size_t HeartbeatBytes = 64 * 1024;
+constexpr std::size_t HeartbeatBytes = std::size_t{64} * 1024;
 
 // A worker that drains ends its work within seconds; the bound only keeps its agent from waiting for ever.
 constexpr std::chrono::milliseconds DrainBound = std::chrono::minutes(5);
--- a/tests/process/platform_deployment.cpp
+++ b/tests/process/platform_deployment.cpp
@@ -145,6 +145,11 @@
     return "http://" + m_front;
 }
 
+const std::string &platform_deployment::frontAddress() const
+{
+    return m_front;
+}
+
 std::string platform_deployment::readiness() const
 {
     return "http://" + m_readiness + "/teaselward/ready";
--- a/tests/process/platform_deployment.h
+++ b/tests/process/platform_deployment.h
@@ -49,6 +49,9 @@
     /** @return URL of the front without a path */
     std::string front() const;
 
+    /** @return address of the front as IP:PORT */
+    const std::string &frontAddress() const;
+
     /** @return URL of the readiness */
     std::string readiness() const;
 
--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -2,6 +2,7 @@
 #include "process/platform_deployment.h"
 
 #include "base/duty_thread.h"
+#include "http/raw_connection.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -50,6 +51,7 @@
     std::vector<long> statuses(6);
     {
         std::vector<std::unique_ptr<duty_thread>> callers;
+        callers.reserve(statuses.size());
         for (int i = 0; i < 6; ++i) {
             callers.push_back(std::make_unique<duty_thread>("caller", [&system, &statuses, i] {
                 statuses[static_cast<std::size_t>(i)] = post(system.front() + id(10 + i), job(4, 100), 20s).status;
@@ -150,6 +152,13 @@
         system.entry().signal(SIGTERM);
         std::this_thread::sleep_for(100ms);
         BOOST_TEST(get(system.readiness()).status != 200);
+        // A client that keeps its connection would run into the end of the process.
+        raw_connection kept(system.frontAddress());
+        BOOST_TEST(kept.sendRequest("GET", "/check/", ""));
+        const auto response = kept.read();
+        BOOST_REQUIRE(response.has_value());
+        BOOST_TEST(response->headers.at("connection") == "close");
+        BOOST_TEST(kept.waitForClose());
     }
     BOOST_TEST(status == 200);
     BOOST_TEST(system.entry().wait() == 0);
