--- a/src/config/route_rules.cpp
+++ b/src/config/route_rules.cpp
@@ -26,7 +26,6 @@
         rule.placedByService = true;
         rule.restartable = true;
         rule.attempts = one.attempts;
-        rule.leavesHeadroom = one.priority > 0;
         rule.stretch = one.stretch;
         rule.target = one.target;
         rule.weight = std::pow(PriorityRatio, -static_cast<double>(one.priority));
--- a/src/core/kind_rule.h
+++ b/src/core/kind_rule.h
@@ -18,7 +18,6 @@
     std::uint32_t taskLimit = 210; ///< Tasks of one job.
     bool placedByService = false; ///< Agents offer the service of the kind instead of the kind itself.
     bool restartable = false; ///< A task that failed, or whose run has certainly ended, may be started again.
-    bool leavesHeadroom = false; ///< Its tasks leave some free slots to the kinds that come first.
     double stretch = 0; ///< Objective of a job in run times of its longest task; zero if the kind has no objective.
     std::chrono::milliseconds target{}; ///< Part of the objective that does not depend on the run time.
     std::uint32_t attempts = 1; ///< Runs of a restartable task that may fail before its job fails.
--- a/src/job/task_placer.cpp
+++ b/src/job/task_placer.cpp
@@ -3,7 +3,6 @@
 #include "core/concat.h"
 #include "core/task_text.h"
 #include "job/failure_reason.h"
-#include "share/headroom.h"
 
 #include <utility>
 
@@ -23,22 +22,11 @@
     , m_jobs(jobs)
     , m_returned(context, jobs)
     , m_placeable([this](std::string_view kind) {
-        return isPlaceable(kind);
+        return m_context.slots.isPlaceable(m_context.offerOf(kind), m_context.now);
     })
 {
 }
 
-bool task_placer::isPlaceable(std::string_view kind)
-{
-    const std::string_view offer = m_context.offerOf(kind);
-    if (!m_context.slots.isPlaceable(offer, m_context.now)) {
-        return false;
-    }
-    const auto rule = m_context.rules->kinds.find(kind);
-    const bool leaves = rule != m_context.rules->kinds.end() && rule->second.leavesHeadroom;
-    return !leaves || m_context.slots.freeCredits(offer, m_context.now) > headroom(m_context.slots.slots(offer), m_context.queue.entryCount());
-}
-
 std::size_t task_placer::placeAll()
 {
     std::size_t placed = 0;
--- a/src/job/task_placer.h
+++ b/src/job/task_placer.h
@@ -98,7 +98,6 @@
     std::size_t outstanding() const;
 
 private:
-    bool isPlaceable(std::string_view kind);
     void start(queued_task task, const agent_id &agent, job_record &job);
     void conclude(const task_id &id, task_outcome outcome, std::int32_t credits);
     bool mayRestart(const task_outcome &outcome, task_record &record, const job_record &job) const;
--- a/src/place/endpoint_pool.cpp
+++ b/src/place/endpoint_pool.cpp
@@ -13,7 +13,6 @@
     if (record.level == level) {
         return;
     }
-    m_total = m_total + level - record.level;
     if (record.level > 0) {
         auto &members = m_levels[record.level];
         members[record.position] = members.back();
--- a/src/place/endpoint_pool.h
+++ b/src/place/endpoint_pool.h
@@ -38,12 +38,6 @@
         return m_highest;
     }
 
-    /** @return sum of the levels of all endpoints */
-    std::size_t total() const
-    {
-        return m_total;
-    }
-
     /** @return endpoints of a level as positions among all endpoints */
     const std::vector<std::size_t> &at(std::uint32_t level) const
     {
@@ -53,7 +47,6 @@
 private:
     std::array<std::vector<std::size_t>, MaxLevel + 1> m_levels;
     std::uint32_t m_highest = 0;
-    std::size_t m_total = 0; ///< Sum of the levels of all endpoints.
 };
 
 } // namespace teaselward
--- a/src/place/slot_table.cpp
+++ b/src/place/slot_table.cpp
@@ -97,19 +97,6 @@
         || d->findProbe(found->second) < d->probes.size();
 }
 
-std::size_t slot_table::freeCredits(std::string_view kind, mono_time now)
-{
-    d->applyDue(now);
-    const auto found = d->kindNames.find(kind);
-    std::size_t sum = 0;
-    if (found != d->kindNames.end()) {
-        for (const std::size_t pool : d->kinds[found->second].pools) {
-            sum += d->pools[pool].total();
-        }
-    }
-    return sum;
-}
-
 std::optional<agent_id> slot_table::acquire(std::string_view kind, mono_time now)
 {
     d->applyDue(now);
--- a/src/place/slot_table.h
+++ b/src/place/slot_table.h
@@ -71,14 +71,6 @@
      */
     bool isPlaceable(std::string_view kind, mono_time now);
 
-    /**
-     * Counts what a strategy on credits could place at once.
-     * @param kind kind of the task
-     * @param now present time
-     * @return credits of the fit endpoints that offer the kind
-     */
-    std::size_t freeCredits(std::string_view kind, mono_time now);
-
     /**
      * Chooses an endpoint for a task and uses one of its credits.
      * @param kind kind of the task
--- a/src/share/task_queue.cpp
+++ b/src/share/task_queue.cpp
@@ -167,11 +167,6 @@
     d->quotas.setEntryCount(entries);
 }
 
-std::size_t task_queue::entryCount() const
-{
-    return d->entries;
-}
-
 std::vector<queue_status> task_queue::status() const
 {
     std::vector<queue_status> found;
--- a/src/share/task_queue.h
+++ b/src/share/task_queue.h
@@ -118,9 +118,6 @@
      */
     void setEntryCount(std::size_t entries);
 
-    /** @return entries that share the quotas and the slots, this one included */
-    std::size_t entryCount() const;
-
     /** @return state of the queue of every kind and team */
     std::vector<queue_status> status() const;
 
