Serve metrics of the platform's clients, and tidy the watch of endpoints

Change: GET /metrics beside the readiness; one type a file in src/proc/watch; the class is called signal_relay; a variable without use is gone. Conclusion: no change of the decisions.

--- a/src/agent/run/run_supervisor.cpp
+++ b/src/agent/run/run_supervisor.cpp
@@ -179,7 +179,6 @@
         d->lose("no answer", now);
         return;
     }
-    std::vector<run_id> due;
     for (auto &[id, run] : d->runs) {
         if (run.retryAt <= now) {
             d->sendStop(run, now);
--- a/src/cli/run_until_stopped.h
+++ b/src/cli/run_until_stopped.h
@@ -2,8 +2,8 @@
 
 #include "cli/exit_status.h"
 #include "log/process_log.h"
+#include "proc/signal_relay.h"
 #include "proc/signal_watch.h"
-#include "proc/stop_request.h"
 
 #include <functional>
 #include <iostream>
@@ -25,8 +25,8 @@
 template<typename MakeProcess>
 int runUntilStopped(const std::string &role, bool logsDecisions, const std::string &ready, const std::function<std::string()> &reload, MakeProcess make)
 {
-    stop_request request;
-    stop_request reloads;
+    signal_relay request;
+    signal_relay reloads;
     // The signals must be blocked before any other thread starts.
     const signal_watch signals(
         [&request] {
--- a/src/metrics/request_metrics.cpp
+++ b/src/metrics/request_metrics.cpp
@@ -16,7 +16,7 @@
 {
 
 // Indexed by the value of the enumerator.
-constexpr std::array<std::string_view, 3> Listeners = {"caller", "peer", "operator"};
+constexpr std::array<std::string_view, 4> Listeners = {"caller", "peer", "operator", "client"};
 
 // Quantiles that are shown, with their labels.
 constexpr std::array Quantiles = {
--- a/src/platform/job_api.cpp
+++ b/src/platform/job_api.cpp
@@ -52,9 +52,10 @@
 
 } // namespace
 
-job_api::job_api(const shared_routes &routes, event_dispatcher &dispatcher, decision_log &log)
+job_api::job_api(const shared_routes &routes, event_dispatcher &dispatcher, count_function count, decision_log &log)
     : m_routes(routes)
     , m_dispatcher(dispatcher)
+    , m_count(std::move(count))
     , m_log(log)
 {
 }
@@ -140,9 +141,9 @@
     return encodeClientError(why == reason::tooLarge ? StatusTooLarge : StatusUnavailable, why, reasonText(why));
 }
 
-// The metrics count the jobs where they are decided.
-void job_api::finished(const http_response & /*response*/, bool /*delivered*/, std::chrono::microseconds /*duration*/)
+void job_api::finished(const http_response &response, bool delivered, std::chrono::microseconds duration)
 {
+    m_count(response.why, delivered, duration);
 }
 
 } // namespace teaselward
--- a/src/platform/job_api.h
+++ b/src/platform/job_api.h
@@ -5,6 +5,8 @@
 #include "http/request_handler.h"
 #include "log/decision_log.h"
 
+#include <functional>
+
 namespace teaselward
 {
 
@@ -12,13 +14,16 @@
 class job_api : public request_handler
 {
 public:
+    using count_function = std::function<void(reason why, bool delivered, std::chrono::microseconds duration)>;
+
     /**
      * Creates the handler. All references must outlive it.
      * @param routes routes in force
      * @param dispatcher passes submissions to the decisions
+     * @param count counts a request that has ended, by its outcome, delivery and duration; called by the listener's thread
      * @param log receiver of the log lines
      */
-    job_api(const shared_routes &routes, event_dispatcher &dispatcher, decision_log &log);
+    job_api(const shared_routes &routes, event_dispatcher &dispatcher, count_function count, decision_log &log);
 
     bool handle(http_exchange &exchange) override;
     http_response refuseBody(reason why) override;
@@ -40,6 +45,7 @@
 
     const shared_routes &m_routes;
     event_dispatcher &m_dispatcher;
+    count_function m_count;
     decision_log &m_log;
 };
 
--- a/src/platform/job_front.cpp
+++ b/src/platform/job_front.cpp
@@ -4,11 +4,14 @@
 #include "http/event_dispatcher.h"
 #include "http/http_listener.h"
 #include "http/pending_requests.h"
+#include "metrics/exposition_writer.h"
+#include "metrics/request_metrics.h"
 #include "platform/client_headers.h"
 #include "platform/job_api.h"
 #include "platform/job_codec.h"
 #include "platform/readiness_api.h"
 
+#include <absl/synchronization/mutex.h>
 #include <absl/synchronization/notification.h>
 #include <absl/time/time.h>
 
@@ -43,8 +46,17 @@
         : events(decisions)
         , replies(ReplyCapacity)
         , dispatcher(request_origin::client, pending, decisions)
-        , jobs(routes, dispatcher, log)
-        , readiness(std::move(isReady))
+        , jobs(
+              routes,
+              dispatcher,
+              [this](reason why, bool delivered, std::chrono::microseconds duration) {
+                  const absl::MutexLock lock(&metricsMutex);
+                  metrics.countRequest(request_origin::client, why, delivered, duration);
+              },
+              log)
+        , readiness(std::move(isReady), [this] {
+            return writeMetrics();
+        })
     {
         http_listener_settings common{settings.listen, settings.bodyLimit, settings.bufferLimit, settings.connectionLimit, settings.idleTimeout};
         common.headers = clientHeaders();
@@ -60,6 +72,18 @@
         });
     }
 
+    std::string writeMetrics()
+    {
+        exposition_writer writer;
+        {
+            const absl::MutexLock lock(&metricsMutex);
+            metrics.write(writer);
+        }
+        writer.family("teaselward_connections", "gauge", "Open connections.");
+        writer.sample("teaselward_connections", {{"listener", "client"}}, static_cast<double>(clientListener->connections()));
+        return writer.take();
+    }
+
     // Duty of the reply thread.
     void writeReplies()
     {
@@ -95,13 +119,15 @@
         replies.close();
         replyThread.reset();
         clientListener->stop();
+        balancerListener.reset(); // Its metrics name the connections of the other one.
         clientListener.reset();
-        balancerListener.reset();
     }
 
     bounded_ring<entry_event> &events;
     bounded_ring<reply_job> replies;
     pending_requests pending;
+    absl::Mutex metricsMutex;
+    request_metrics metrics ABSL_GUARDED_BY(metricsMutex);
     event_dispatcher dispatcher;
     job_api jobs;
     readiness_api readiness;
--- a/src/platform/readiness_api.cpp
+++ b/src/platform/readiness_api.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr std::string_view Path = "/teaselward/ready";
+constexpr std::string_view MetricsPath = "/metrics";
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusTooLarge = 413;
@@ -19,15 +20,19 @@
 
 } // namespace
 
-readiness_api::readiness_api(std::function<bool()> isReady)
+readiness_api::readiness_api(std::function<bool()> isReady, std::function<std::string()> metrics)
     : m_isReady(std::move(isReady))
+    , m_metrics(std::move(metrics))
 {
 }
 
 bool readiness_api::handle(http_exchange &exchange)
 {
     http_response response;
-    if (exchange.request.path != Path) {
+    if (exchange.request.path == MetricsPath) {
+        response.body = m_metrics();
+        response.contentType = "text/plain; version=0.0.4; charset=utf-8";
+    } else if (exchange.request.path != Path) {
         response = encodeClientError(StatusNotFound, reason::malformed, "unknown path");
     } else {
         response.status = m_isReady() ? StatusOk : StatusUnavailable;
--- a/src/proc/stop_request.h
+++ b/src/proc/signal_relay.h
@@ -8,8 +8,8 @@
 namespace teaselward
 {
 
-/** Passes a stop signal on to a process that may not have started yet or may have ended already. */
-class stop_request
+/** Passes a signal on to a process that may not have started yet or may have ended already. */
+class signal_relay
 {
 public:
     /** Records a signal and calls the connected function, if any. */
@@ -21,7 +21,7 @@
     }
 
     /**
-     * Connects the function that begins the shutdown. It is called at once if a signal came before.
+     * Connects the function that acts on the signal. It is called at once if a signal came before.
      * @param target the function
      */
     void connect(std::function<void()> target)
--- /dev/null
+++ b/src/proc/watch/endpoint_lost.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <cstdint>
+
+namespace teaselward
+{
+
+/** A life of the endpoint has ended. */
+struct endpoint_lost {
+    std::uint64_t life = 0; ///< Number of the life within the process.
+};
+
+} // namespace teaselward
--- a/tests/process/platform_deployment.cpp
+++ b/tests/process/platform_deployment.cpp
@@ -150,6 +150,11 @@
     return m_front;
 }
 
+const std::string &platform_deployment::readinessAddress() const
+{
+    return m_readiness;
+}
+
 std::string platform_deployment::readiness() const
 {
     return "http://" + m_readiness + "/teaselward/ready";
--- a/tests/process/platform_deployment.h
+++ b/tests/process/platform_deployment.h
@@ -52,6 +52,9 @@
     /** @return address of the front as IP:PORT */
     const std::string &frontAddress() const;
 
+    /** @return address of the readiness as IP:PORT */
+    const std::string &readinessAddress() const;
+
     /** @return URL of the readiness */
     std::string readiness() const;
 
--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -62,6 +62,8 @@
         BOOST_TEST(status == 200);
     }
     BOOST_TEST(system.worker().violations().empty());
+    const std::string metrics = request(system.readinessAddress(), "GET", "/metrics").body;
+    BOOST_TEST(metrics.find("teaselward_request_seconds_count{listener=\"client\",outcome=\"ok\"}") != std::string::npos);
 }
 
 // Guards against requests that crash the front, hang, or start something although they are malformed.
