--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -173,13 +173,16 @@
     sleepUntil(begun + delays.next(random));
 }
 
+// The copy for peers is set first: whoever sees the rules in force may ask for it.
 void config_follower_private::bringIntoForce()
 {
     publisher.setFiles(reader.fold());
+    {
+        auto copy = std::make_shared<const snapshot_record>(reader.fold().snapshot());
+        absl::MutexLock lock(&mutex);
+        shared = std::move(copy);
+    }
     publisher.evaluate();
-    auto copy = std::make_shared<const snapshot_record>(reader.fold().snapshot());
-    absl::MutexLock lock(&mutex);
-    shared = std::move(copy);
 }
 
 // Sleeps in parts that end at the boundaries of local time, so that peaks begin and end during an outage too.
