Decide on a listed run by the lists that are sent afterwards

Cause: a list that waits for an end at the endpoint can be answered after one that was sent later. The waiting list then named a run that had just begun, and the other one, with the higher number but made earlier, did not name it. The run was taken as ended while it went on: its task started again beside it (TWICE) and its room was given away (LIMIT). Ruled out: late execution of a stopped start; both runs were answered at once.

Change: a run that a list names is decided only by lists that are sent after that answer. Test: run_supervisor_test/aListThatOvertookAnotherEndsNoRun, which fails without the change.

--- a/src/agent/run/run_supervisor_private.cpp
+++ b/src/agent/run/run_supervisor_private.cpp
@@ -129,8 +129,9 @@
         supervised_run &run = found->second;
         run.wasSeen = true;
         if (run.state == run_state::starting || run.state == run_state::unsure) {
+            // Lists that are under way already may have been made before the run began, whatever their numbers.
             run.state = run_state::running;
-            run.decisive = lists.number;
+            run.decisive = lastList;
             run.progressedAt = now;
             if (run.stopWanted) {
                 sendStop(run, now);
--- a/tests/agent/run/run_supervisor_test.cpp
+++ b/tests/agent/run/run_supervisor_test.cpp
@@ -188,6 +188,28 @@
     BOOST_TEST((outcome->why == reason::noEndpoint));
 }
 
+// Guards against two runs of a task: the endpoint answers a waiting list after one that was sent later, and only the first of
+// them names a run that has just begun. Seen as TWICE and LIMIT while workers leave starts unanswered.
+BOOST_AUTO_TEST_CASE(aListThatOvertookAnotherEndsNoRun)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.order(0);
+    endpoint.order(1);
+    endpoint.supervisor.startAnswered(run(1), call_result::unanswered, endpoint.now);
+    endpoint.collect();
+    BOOST_REQUIRE(endpoint.lists.size() == 2U);
+    const std::vector<list_runs> sent = std::exchange(endpoint.lists, {});
+    endpoint.answerList(sent[0], {{.id = run(0), .percent = 1}}, {});
+    endpoint.answerList(sent[1], {}, {});
+    BOOST_TEST(!endpoint.outcome());
+    endpoint.supervisor.startAnswered(run(0), call_result::accepted, endpoint.now);
+    endpoint.answerLists();
+    const auto outcome = endpoint.outcome();
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((outcome->verdict == task_verdict::interrupted));
+}
+
 // Guards against work thrown away: a run whose start was answered into a lost connection goes on.
 BOOST_AUTO_TEST_CASE(aRunThatTheListNamesGoesOn)
 {
