Keep a lost list from hiding the ends of runs

Cause: while workers leave calls unanswered, a list call that is lost ends after 450 ms only, and no other was sent meanwhile. An agent makes some 25 list calls a second, so with 5 % of them lost it was blind for more than half of the time: tasks of 60 ms took 144 ms, their slots stayed taken and the measured run times led to refusals.

Change: list calls wait 50 ms while there are runs, calls end 80 ms after their wait, the next list is sent 20 ms after one that was lost, and only the newest list delays the next. Tests: aLostListHidesTheEndsOfRunsForAMomentOnly and aListThatIsStillOpenDelaysNoLaterOne fail without the change.

--- a/src/agent/run/run_supervisor.cpp
+++ b/src/agent/run/run_supervisor.cpp
@@ -55,6 +55,9 @@
     run.limit = now + order.timeLimit;
     const run_id id = run.id;
     d->sendStart(d->runs.emplace(id, std::move(run)).first->second, now);
+    if (d->runs.size() == 1) {
+        d->sendList(d->listWait(), now); // The list of the idle endpoint waits too long.
+    }
 }
 
 void run_supervisor::stop(const task_id &task, mono_time now)
@@ -136,7 +139,7 @@
 
 void run_supervisor::listed(const run_lists &lists, mono_time now)
 {
-    --d->listsInCall;
+    d->newestEnded = std::max(d->newestEnded, lists.number);
     if (lists.result == call_result::fenced) {
         d->raiseToken(now);
         return;
@@ -147,7 +150,7 @@
         return;
     }
     if (lists.result != call_result::accepted) {
-        d->nextList = std::min(d->nextList, now + d->settings.stopRetry / 2);
+        d->nextList = now + d->settings.listRetry;
         return;
     }
     d->contactAt = now;
@@ -163,7 +166,7 @@
             d->ready = true;
         }
     }
-    if (d->listsInCall == 0) {
+    if (!d->awaitsList()) {
         d->nextList = now;
         runTimers(now);
     }
@@ -186,8 +189,8 @@
             d->wantStop(run, reason::deadlineExceeded, now);
         }
     }
-    if (d->listsInCall == 0 && d->nextList <= now) {
-        d->sendList(d->settings.renewal, now);
+    if (!d->awaitsList() && d->nextList <= now) {
+        d->sendList(d->listWait(), now);
     }
 }
 
@@ -196,7 +199,7 @@
     if (d->lost) {
         return mono_time::max();
     }
-    mono_time due = d->listsInCall == 0 ? d->nextList : mono_time::max();
+    mono_time due = d->awaitsList() ? mono_time::max() : d->nextList;
     due = std::min(due, std::max(d->contactAt + d->settings.contactLimit, d->leaseSentEnd + d->settings.lease / 20) + std::chrono::milliseconds(1));
     for (const auto &[id, run] : d->runs) {
         due = std::min({due, run.retryAt, run.stopWanted ? mono_time::max() : run.limit});
--- a/src/agent/run/run_supervisor_private.cpp
+++ b/src/agent/run/run_supervisor_private.cpp
@@ -62,11 +62,21 @@
         call.leaseEnd = leaseEnd(now);
         leaseSentEnd = now + settings.lease;
     }
-    ++listsInCall;
-    nextList = now + settings.renewal;
     calls.emplace_back(call);
 }
 
+// A lost answer hides the ends of runs until the call is given up, so calls are short while there are runs.
+std::chrono::milliseconds run_supervisor_private::listWait() const
+{
+    return runs.empty() ? settings.renewal : settings.busyListWait;
+}
+
+// Older calls may still be open; only the newest one keeps the next from being sent.
+bool run_supervisor_private::awaitsList() const
+{
+    return newestEnded < lastList;
+}
+
 void run_supervisor_private::sendStart(supervised_run &run, mono_time now)
 {
     run.state = run_state::starting;
--- a/src/agent/run/run_supervisor_private.h
+++ b/src/agent/run/run_supervisor_private.h
@@ -23,6 +23,8 @@
     run_supervisor_private(const supervisor_settings &given, decision_log &lines);
 
     void sendList(std::chrono::milliseconds wait, mono_time now);
+    std::chrono::milliseconds listWait() const;
+    bool awaitsList() const;
     void sendStart(supervised_run &run, mono_time now);
     void sendStop(supervised_run &run, mono_time now);
     void wantStop(supervised_run &run, reason why, mono_time now);
@@ -48,7 +50,7 @@
     std::uint64_t tokenStep = 1;
     std::uint64_t lastList = 0; ///< Number of the last list call.
     std::uint64_t newestAnswer = 0; ///< Number of the newest list call that was answered.
-    std::uint32_t listsInCall = 0;
+    std::uint64_t newestEnded = 0; ///< Number of the newest list call that has ended with or without an answer.
     std::uint64_t acknowledged = 0;
     std::optional<std::chrono::milliseconds> clockOffset; ///< Clock of the endpoint less our clock; never too far ahead.
     mono_time contactAt{}; ///< Last answer of the endpoint.
--- a/src/platform/worker_client_settings.h
+++ b/src/platform/worker_client_settings.h
@@ -14,7 +14,11 @@
     std::string address; ///< As IP:PORT.
     std::string id; ///< The worker refuses calls that are meant for another id.
     supervisor_settings supervisor;
-    std::chrono::milliseconds callLimit{250}; ///< Answers take a millisecond; a call without one may be carried out seconds later.
+    /**
+     * The worker runs on the same machine and answers within a millisecond, or some 20 ms while the machine is slowed. What a
+     * call does may be unknown until this limit, and an end that is not listed is unknown as long.
+     */
+    std::chrono::milliseconds callLimit{80};
     std::size_t ringCapacity = 1024; ///< Orders on their way to the thread.
 };
 
