Place tasks again whose start got no answer and did not run

Cause: the agent reported such a task as not started with the reason "outcome unknown". The home takes this reason as the word of a fenced agent and fails the job, so one lost start in a hundred failed one job of eight tasks in twelve.

Change: the report names no reason, like a revoked start. Test: aStartWithoutAnswerIsKeptFromArrivingLater now also checks the reason.

--- a/src/agent/run/run_supervisor_private.cpp
+++ b/src/agent/run/run_supervisor_private.cpp
@@ -176,9 +176,9 @@
             continue;
         }
         if (run.state == run_state::unsure) {
-            // It may still begin later; an accepted stop keeps it from that.
+            // It may still begin later; an accepted stop keeps it from that, and the task can then start elsewhere.
             run.stopWanted = true;
-            run.stopReason = reason::outcomeUnknown;
+            run.stopReason = reason::none;
             sendStop(run, now);
             logRun("The run is not there; keeping its start from arriving later.", run);
         } else if (run.state == run_state::running || run.state == run_state::stopped) {
--- a/tests/agent/run/run_supervisor_test.cpp
+++ b/tests/agent/run/run_supervisor_test.cpp
@@ -145,7 +145,8 @@
     BOOST_TEST(endpoint.supervisor.isReady());
 }
 
-// Guards against the late execution of a start without an answer, beside the next attempt of its task.
+// Guards against the late execution of a start without an answer, beside the next attempt of its task, and against a reason by
+// which the home would give up the job: it takes "outcome unknown" for the word of an agent that another entry has fenced.
 BOOST_AUTO_TEST_CASE(aStartWithoutAnswerIsKeptFromArrivingLater)
 {
     supervised_endpoint endpoint;
@@ -168,6 +169,7 @@
     const auto outcome = endpoint.outcome();
     BOOST_REQUIRE(outcome.has_value());
     BOOST_TEST((outcome->verdict == task_verdict::notStarted));
+    BOOST_TEST((outcome->why == reason::none));
 }
 
 // Guards against the same for a start that was refused, of which the client library may have sent an earlier copy.
