Give a free slot to the most urgent held start

Cause: starts that wait at an agent ran in the order of their arrival and by entry.

Change: an order names the time left until its start is due; the agent runs the earliest due start that can still be in time, and then those that are late in any case. Orders without an objective keep the former order. Test: agent_core_test/theMostUrgentHeldStartRunsFirst.

--- a/src/agent/agent_core_held.cpp
+++ b/src/agent/agent_core_held.cpp
@@ -27,22 +27,41 @@
 
 // Gives free slots to held starts. The time that a start was held counts against its limit.
 void agent_core_private::runHeld()
+{
+    while (auto start = takeHeld()) {
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - start->since);
+        start->order.timeLimit -= waited;
+        run(start->call, start->from, start->order);
+    }
+}
+
+// Takes the start that gets the next free slot: the most urgent one, or if none has a due time the oldest of the entry with
+// the fewest running tasks.
+std::optional<held_start> agent_core_private::takeHeld()
 {
     const auto fits = [this](const held_start &held) {
         return m_room.fits(held.order.needs);
     };
+    if (const held_start *urgent = m_held.mostUrgent(fits, m_now); urgent != nullptr) {
+        if (!m_credits.takeHeldOf(urgent->from)) {
+            return std::nullopt;
+        }
+        return m_held.takeFirst([urgent](const held_start &held) {
+            return &held == urgent;
+        });
+    }
     const auto hasFitting = [this, &fits](const entry_id &entry) {
         return m_held.contains([&fits, &entry](const held_start &held) {
             return held.from == entry && fits(held);
         });
     };
-    while (const auto entry = m_credits.takeHeld(hasFitting)) {
-        auto start = m_held.takeFirst([&entry, &fits](const held_start &held) {
-            return held.from == *entry && fits(held);
-        });
-        start->order.timeLimit -= std::chrono::duration_cast<std::chrono::milliseconds>(m_now - start->since);
-        run(start->call, start->from, start->order);
+    const auto entry = m_credits.takeHeld(hasFitting);
+    if (!entry) {
+        return std::nullopt;
     }
+    return m_held.takeFirst([&entry, &fits](const held_start &held) {
+        return held.from == *entry && fits(held);
+    });
 }
 
 // Answers a held start as not started and passes its credits on.
--- a/src/agent/agent_core_private.h
+++ b/src/agent/agent_core_private.h
@@ -54,6 +54,7 @@
     void stopRun(const task_id &id, running_task &task);
     void run(const call_id &call, const entry_id &from, const start_order &order);
     void runHeld();
+    std::optional<held_start> takeHeld();
     void refuseHeld(const held_start &start, reason why);
     void refuseAllHeld(const held_start_queue::filter &isRefused, reason why);
     void dropHeldOf(const entry_id &entry);
--- a/src/agent/held_start.h
+++ b/src/agent/held_start.h
@@ -5,6 +5,8 @@
 #include "core/entry_id.h"
 #include "core/start_order.h"
 
+#include <optional>
+
 namespace teaselward
 {
 
@@ -14,6 +16,9 @@
     entry_id from;
     start_order order;
     mono_time since{};
+
+    /** @return latest start that meets the objective of its job, or nothing if it has none */
+    std::optional<mono_time> due() const;
 };
 
 } // namespace teaselward
--- a/src/agent/held_start_queue.cpp
+++ b/src/agent/held_start_queue.cpp
@@ -1,5 +1,6 @@
 #include "agent/held_start_queue.h"
 
+#include "agent/start_urgency.h"
 #include "place/credit_allocator.h"
 
 #include <algorithm>
@@ -29,6 +30,17 @@
     return taken;
 }
 
+const held_start *held_start_queue::mostUrgent(const filter &isWanted, mono_time now) const
+{
+    const held_start *found = nullptr;
+    for (const held_start &start : m_starts) {
+        if (start.order.slack && isWanted(start) && (found == nullptr || isMoreUrgent(start, *found, now))) {
+            found = &start;
+        }
+    }
+    return found;
+}
+
 std::vector<held_start> held_start_queue::takeAll(const filter &isWanted)
 {
     std::vector<held_start> taken;
--- a/src/agent/held_start_queue.h
+++ b/src/agent/held_start_queue.h
@@ -36,6 +36,14 @@
      */
     std::optional<held_start> takeFirst(const filter &isWanted);
 
+    /**
+     * Finds the most urgent start that has a due time and passes a filter.
+     * @param isWanted the filter
+     * @param now present time
+     * @return the start, or nothing; valid until the queue changes
+     */
+    const held_start *mostUrgent(const filter &isWanted, mono_time now) const;
+
     /**
      * Takes all starts that pass a filter.
      * @param isWanted the filter
--- a/src/job/task_placer.cpp
+++ b/src/job/task_placer.cpp
@@ -73,6 +73,9 @@
     action.order.key = job.key;
     action.order.needs = job.needs;
     action.order.restartable = job.restartable;
+    if (task.due) {
+        action.order.slack = std::chrono::floor<std::chrono::milliseconds>(*task.due - m_context.now);
+    }
     m_placements.add(
         {.task = std::move(task), .agent = agent, .state = placement_state::sent, .lostAt = std::nullopt, .delays = std::nullopt, .timer = std::nullopt});
     m_context.actions->push_back(std::move(action));
--- a/src/place/credit_allocator.cpp
+++ b/src/place/credit_allocator.cpp
@@ -47,6 +47,15 @@
         return found != nullptr ? *found : members.emplace_back(member{entry, {}}).account;
     }
 
+    // Turns a held start of an entry into a running task.
+    void runHeld(credit_account &account)
+    {
+        --account.held;
+        --totals.held;
+        ++account.running;
+        ++totals.running;
+    }
+
     // Forgets entries that are lost and have nothing left here.
     void dropUnused()
     {
@@ -196,13 +205,20 @@
     if (chosen == nullptr) {
         return std::nullopt;
     }
-    --chosen->account.held;
-    --d->totals.held;
-    ++chosen->account.running;
-    ++d->totals.running;
+    d->runHeld(chosen->account);
     return chosen->entry;
 }
 
+bool credit_allocator::takeHeldOf(const entry_id &entry)
+{
+    credit_account *account = d->find(entry);
+    if (d->closed || d->totals.running >= d->totals.slots || account == nullptr || account->held == 0) {
+        return false;
+    }
+    d->runHeld(*account);
+    return true;
+}
+
 std::vector<credit_grant> credit_allocator::dropHeld(const entry_id &entry, mono_time /*now*/)
 {
     credit_account *account = d->find(entry);
--- a/src/place/credit_allocator.h
+++ b/src/place/credit_allocator.h
@@ -111,6 +111,13 @@
     /** As above, for an endpoint that counts slots only. */
     std::optional<entry_id> takeHeld();
 
+    /**
+     * Gives a free slot to a held start that the agent has chosen itself.
+     * @param entry its entry
+     * @return false if no slot is free or the entry has no held start
+     */
+    bool takeHeldOf(const entry_id &entry);
+
     /**
      * Forgets a held start that is answered as not started, since it was revoked or waited too long.
      * @param entry the entry
--- a/src/rpc/wire.capnp
+++ b/src/rpc/wire.capnp
@@ -47,6 +47,8 @@
   memoryMb @8 :UInt32;
   gpus @9 :UInt32;
   restartable @10 :Bool;
+  hasSlack @11 :Bool;
+  slackMs @12 :Int64;
 }
 
 struct AgentInfo {
--- a/src/rpc/wire.capnp.h
+++ b/src/rpc/wire.capnp.h
@@ -165,7 +165,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d383fa57d566cab, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(9d383fa57d566cab, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1478,6 +1478,10 @@
 
   inline bool getRestartable() const;
 
+  inline bool getHasSlack() const;
+
+  inline  ::int64_t getSlackMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1559,6 +1563,12 @@
   inline bool getRestartable();
   inline void setRestartable(bool value);
 
+  inline bool getHasSlack();
+  inline void setHasSlack(bool value);
+
+  inline  ::int64_t getSlackMs();
+  inline void setSlackMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6378,6 +6388,34 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StartOrder::Reader::getHasSlack() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+
+inline bool StartOrder::Builder::getHasSlack() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+inline void StartOrder::Builder::setHasSlack(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StartOrder::Reader::getSlackMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StartOrder::Builder::getSlackMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StartOrder::Builder::setSlackMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AgentInfo::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/share/queued_job.h
+++ b/src/share/queued_job.h
@@ -18,6 +18,7 @@
     std::size_t team = 0; ///< Number of the team in the kind's queue.
     std::multimap<mono_time, ticket_id>::iterator expiry; ///< Position in the order of the deadlines.
     mono_time due{}; ///< Orders the jobs of a team; smaller jobs are due earlier.
+    bool hasObjective = false; ///< The due time is that of an objective.
     std::deque<queued_task> tasks;
 };
 
--- a/src/share/queued_task.h
+++ b/src/share/queued_task.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "core/task_id.h"
 
+#include <optional>
 #include <string>
 
 namespace teaselward
@@ -14,6 +15,7 @@
     std::string kind;
     std::string team;
     mono_time deadline{};
+    std::optional<mono_time> due{}; ///< Latest start that meets the objective of its job; set by the queue.
 };
 
 } // namespace teaselward
--- a/src/share/task_queue.cpp
+++ b/src/share/task_queue.cpp
@@ -48,6 +48,9 @@
 void task_queue::push(queued_task task, mono_time now)
 {
     const auto job = d->findOrAddJob(task, now);
+    if (job->hasObjective) {
+        task.due = job->due;
+    }
     job->tasks.push_back(std::move(task));
     d->countQueued(*job, 1);
 }
--- a/src/share/task_queue_private.cpp
+++ b/src/share/task_queue_private.cpp
@@ -143,7 +143,9 @@
     while (before != list.begin() && std::prev(before)->due > due) {
         --before;
     }
-    return addJob(task, kindNumber, teamNumber, before, due);
+    const auto added = addJob(task, kindNumber, teamNumber, before, due);
+    added->hasObjective = isNew && admittedSlack.has_value();
+    return added;
 }
 
 task_queue_private::job_position task_queue_private::findOrAddFront(const queued_task &task)
--- a/tests/agent/agent_core_test.cpp
+++ b/tests/agent/agent_core_test.cpp
@@ -3,7 +3,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -55,9 +57,10 @@
         handle(entry_joined{.info = {.id = entry, .address = "10.0.0.1:1", .failureDomain = "a"}});
     }
 
-    call_id start(const task_id &id, const entry_id &from = Entry)
+    call_id start(const task_id &id, const entry_id &from = Entry, std::optional<std::chrono::milliseconds> slack = {})
     {
         start_order order;
+        order.slack = slack;
         order.id = id;
         order.kind = "check";
         order.payload = "payload";
@@ -422,6 +425,25 @@
     BOOST_TEST(agent.count<finish_agent_drain>() == 0U);
 }
 
+// Guards against a short job that misses its objective behind long tasks which could have waited.
+BOOST_AUTO_TEST_CASE(theMostUrgentHeldStartRunsFirst)
+{
+    agent_fixture agent(settingsWith(2));
+    agent.join(Other);
+    agent.start(task(0), Entry, 500ms);
+    agent.start(task(1), Entry, 500ms);
+    agent.start(task(2), Entry, 20ms); // Has missed its objective when the slot becomes free.
+    agent.start(task(3), Entry, 500ms);
+    agent.start(task(0, 2), Other, 80ms);
+    agent.now += 50ms;
+    agent.finish(task(0), outcome(task_verdict::succeeded));
+    BOOST_TEST((agent.get<call_endpoint>().id == task(0, 2)));
+    agent.finish(task(0, 2), outcome(task_verdict::succeeded));
+    BOOST_TEST((agent.get<call_endpoint>().id == task(3)));
+    agent.finish(task(3), outcome(task_verdict::succeeded));
+    BOOST_TEST((agent.get<call_endpoint>().id == task(2)));
+}
+
 // Guards against an idle agent that is woken.
 BOOST_AUTO_TEST_CASE(anIdleAgentWantsNoTimer)
 {
