Keep room for the kinds that come first

Long tasks took every slot that became free.

Change: kinds of the lowest priority number of a service may send two starts beyond the credits of each agent, where they take the next free slot, and an agent keeps 0.8 of what these kinds used lately free of others. Credits tell the slots without this reserve; on an endpoint with counted resources the number of tasks is no limit any more. Tests: overload_replay_test runs the cores of entries and agents in virtual time under the load of the users' kinds; first_kinds_reserve_test, route_rules_test, slot_table_test/aKindThatComesFirstMayStartTwiceBeyondTheCredits.

--- a/src/agent/agent_core_held.cpp
+++ b/src/agent/agent_core_held.cpp
@@ -15,8 +15,12 @@
 {
     m_ledger.recordStart(order.id);
     m_room.take(order.needs);
+    if (order.comesFirst) {
+        m_reserve.started(order.needs, m_now);
+    }
     m_running[order.id] = {.calls = {{.call = call, .from = from, .session = m_sessions.current(from)}},
                            .needs = order.needs,
+                           .comesFirst = order.comesFirst,
                            .restartable = order.restartable,
                            .isStopping = false};
     if (m_log.isEnabled()) {
@@ -25,6 +29,12 @@
     m_actions->push_back(call_endpoint{.id = order.id, .kind = order.kind, .payload = order.payload, .timeLimit = order.timeLimit, .key = order.key});
 }
 
+// Tells whether a task fits beside those that run and what is reserved for the kinds that come first.
+bool agent_core_private::fits(const start_order &order)
+{
+    return m_room.fits(order.needs, order.comesFirst ? 0 : m_reserve.unusedMillis(m_now));
+}
+
 // Gives free slots to held starts. The time that a start was held counts against its limit.
 void agent_core_private::runHeld()
 {
@@ -39,10 +49,10 @@
 // the fewest running tasks.
 std::optional<held_start> agent_core_private::takeHeld()
 {
-    const auto fits = [this](const held_start &held) {
-        return m_room.fits(held.order.needs);
+    const auto isFitting = [this](const held_start &held) {
+        return fits(held.order);
     };
-    if (const held_start *urgent = m_held.mostUrgent(fits, m_now); urgent != nullptr) {
+    if (const held_start *urgent = m_held.mostUrgent(isFitting, m_now); urgent != nullptr) {
         if (!m_credits.takeHeldOf(urgent->from)) {
             return std::nullopt;
         }
@@ -50,17 +60,17 @@
             return &held == urgent;
         });
     }
-    const auto hasFitting = [this, &fits](const entry_id &entry) {
-        return m_held.contains([&fits, &entry](const held_start &held) {
-            return held.from == entry && fits(held);
+    const auto hasFitting = [this, &isFitting](const entry_id &entry) {
+        return m_held.contains([&isFitting, &entry](const held_start &held) {
+            return held.from == entry && isFitting(held);
         });
     };
     const auto entry = m_credits.takeHeld(hasFitting);
     if (!entry) {
         return std::nullopt;
     }
-    return m_held.takeFirst([&entry, &fits](const held_start &held) {
-        return held.from == *entry && fits(held);
+    return m_held.takeFirst([&entry, &isFitting](const held_start &held) {
+        return held.from == *entry && isFitting(held);
     });
 }
 
--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -31,7 +31,7 @@
 agent_core_private::agent_core_private(const agent_core_settings &settings, decision_log &log)
     : m_log(log)
     , m_ledger(settings.retention, settings.maxRecords, settings.maxResultBytes)
-    , m_credits(settings.self.slots)
+    , m_credits(settings.self.slots, "shared", settings.capacity.cpuMillis == 0)
     , m_room(settings.capacity)
     , m_taskSize(settings.capacity, settings.self.slots)
     , m_sessionLease(settings.sessionLease)
@@ -61,6 +61,7 @@
     for (const held_start &start : m_held.takeExpired(now)) {
         refuseHeld(start, reason::overloaded);
     }
+    m_credits.resize(m_taskSize.slots(m_reserve.unusedMillis(now)));
     (this->*handlers.at(event.index()))(event);
     finishDrainIfIdle();
     m_actions = nullptr;
@@ -101,7 +102,6 @@
         grant(m_credits.setDemand(event.from, event.order.demand, m_now), nullptr);
     }
     m_taskSize.add(event.order.needs);
-    m_credits.resize(m_taskSize.slots());
     // A repeated start of a held task replaces the held one, else both could run.
     refuseAllHeld(
         [&id](const held_start &held) {
@@ -121,7 +121,7 @@
     } else if (!m_ledger.hasRoom() || !isConnected || !m_room.canEverFit(event.order.needs)) {
         // A credit that was not taken is returned, unless its session has ended.
         refuse(reason::overloaded, isConnected ? UntakenCredit : 0);
-    } else if (m_room.fits(event.order.needs) ? m_credits.take(event.from) : m_credits.spend(event.from)) {
+    } else if (fits(event.order) ? m_credits.take(event.from) : m_credits.spend(event.from)) {
         run(event.call, event.from, event.order);
     } else if (m_credits.hold(event.from)) {
         m_held.add({.call = event.call, .from = event.from, .order = event.order, .since = m_now});
@@ -249,6 +249,9 @@
     }
     const std::vector<waiting_call> calls = std::move(found->second.calls);
     m_room.release(found->second.needs);
+    if (found->second.comesFirst) {
+        m_reserve.ended(found->second.needs, m_now);
+    }
     m_running.erase(found);
     m_ledger.recordOutcome(event.id, event.outcome, m_now);
     const waiting_call &first = calls.front();
--- a/src/agent/endpoint_room.cpp
+++ b/src/agent/endpoint_room.cpp
@@ -24,9 +24,11 @@
     return m_capacity != task_resources{};
 }
 
-bool endpoint_room::fits(const task_resources &needs) const
+bool endpoint_room::fits(const task_resources &needs, std::uint32_t reservedMillis) const
 {
-    return !isLimited() || isWithin(m_used, needs, m_capacity);
+    task_resources taken = m_used;
+    taken.cpuMillis += reservedMillis;
+    return !isLimited() || isWithin(taken, needs, m_capacity);
 }
 
 bool endpoint_room::canEverFit(const task_resources &needs) const
--- a/src/agent/endpoint_room.h
+++ b/src/agent/endpoint_room.h
@@ -2,6 +2,8 @@
 
 #include "core/task_resources.h"
 
+#include <cstdint>
+
 namespace teaselward
 {
 
@@ -18,8 +20,9 @@
     /**
      * Tells whether a task fits beside those that run.
      * @param needs what the task takes
+     * @param reservedMillis thousandths of a core that it must leave free
      */
-    bool fits(const task_resources &needs) const;
+    bool fits(const task_resources &needs, std::uint32_t reservedMillis = 0) const;
 
     /**
      * Tells whether a task would fit into the idle endpoint.
--- a/src/agent/running_task.h
+++ b/src/agent/running_task.h
@@ -12,6 +12,7 @@
 struct running_task {
     std::vector<waiting_call> calls; ///< Who waits for the outcome; the first one ordered the start.
     task_resources needs;
+    bool comesFirst = false; ///< Counts for the reserve.
     bool restartable = false; ///< Stopped when its home is lost.
     bool isStopping = false;
 };
--- a/src/agent/task_size_estimate.h
+++ b/src/agent/task_size_estimate.h
@@ -24,8 +24,15 @@
      */
     void add(const task_resources &needs);
 
-    /** @return tasks of the mean size that fit into the endpoint; at least one */
-    std::uint32_t slots() const;
+    /**
+     * Tells how many tasks of the mean size fit into the endpoint.
+     * @param reservedMillis thousandths of a core that they must leave free
+     * @return the number, at least one
+     */
+    std::uint32_t slots(std::uint32_t reservedMillis = 0) const;
+
+    /** @return whether the resources of the endpoint limit the tasks, and not their number */
+    bool isByResources() const;
 
 private:
     task_resources m_capacity;
--- a/src/config/route_rules.cpp
+++ b/src/config/route_rules.cpp
@@ -1,6 +1,7 @@
 #include "config/route_rules.h"
 
 #include <cmath>
+#include <vector>
 
 namespace teaselward
 {
@@ -14,6 +15,18 @@
 // Tasks of one kind that wait at an entry: more than a minute of work for a hundred slots.
 constexpr std::uint32_t QueueLimit = 8192;
 
+// Tells whether a kind shares its service with less urgent ones, and with none that is more urgent.
+bool comesFirst(const route &one, const std::vector<route> &routes)
+{
+    bool hasLess = false;
+    bool hasMore = false;
+    for (const route &other : routes) {
+        hasLess = hasLess || (other.service == one.service && other.priority > one.priority);
+        hasMore = hasMore || (other.service == one.service && other.priority < one.priority);
+    }
+    return hasLess && !hasMore;
+}
+
 } // namespace
 
 rule_set routeRules(const route_config &config)
@@ -22,6 +35,7 @@
     rules.offset = config.version;
     for (const route &one : config.routes) {
         kind_rule rule;
+        rule.comesFirst = comesFirst(one, config.routes);
         rule.service = one.service;
         rule.placedByService = true;
         rule.restartable = true;
--- a/src/job/entry_context.h
+++ b/src/job/entry_context.h
@@ -58,6 +58,16 @@
         return found != services.end() ? std::string_view(found->second) : kind;
     }
 
+    /**
+     * Tells whether the tasks of a kind may use what is reserved for the kinds that come first.
+     * @param kind the kind
+     */
+    bool comesFirst(std::string_view kind) const
+    {
+        const auto found = rules ? rules->kinds.find(kind) : decltype(rules->kinds.find(kind)){};
+        return rules && found != rules->kinds.end() && found->second.comesFirst;
+    }
+
     entry_core_settings settings;
     mono_time start; ///< Tickets state their issue time relative to it.
     decision_log &log;
--- a/src/job/task_placer.cpp
+++ b/src/job/task_placer.cpp
@@ -22,7 +22,7 @@
     , m_jobs(jobs)
     , m_returned(context, jobs)
     , m_placeable([this](std::string_view kind) {
-        return m_context.slots.isPlaceable(m_context.offerOf(kind), m_context.now);
+        return m_context.slots.isPlaceable(m_context.offerOf(kind), m_context.now, m_context.comesFirst(kind));
     })
 {
 }
@@ -40,7 +40,7 @@
             m_context.queue.finish(*task, {.verdict = task_verdict::notStarted, .why = reason::none, .body = {}, .runTime = {}}, m_context.now);
             continue;
         }
-        const std::optional<agent_id> agent = m_context.slots.acquire(m_context.offerOf(task->kind), m_context.now);
+        const std::optional<agent_id> agent = m_context.slots.acquire(m_context.offerOf(task->kind), m_context.now, m_context.comesFirst(task->kind));
         if (!agent) {
             m_context.queue.putBack(*std::move(task));
             break;
@@ -73,6 +73,7 @@
     action.order.key = job.key;
     action.order.needs = job.needs;
     action.order.restartable = job.restartable;
+    action.order.comesFirst = m_context.comesFirst(task.kind);
     if (task.due) {
         action.order.slack = std::chrono::floor<std::chrono::milliseconds>(*task.due - m_context.now);
     }
--- a/src/place/credit_allocator.cpp
+++ b/src/place/credit_allocator.cpp
@@ -28,6 +28,7 @@
 
     credit_totals totals;
     bool closed = false;
+    bool limitsRunning = true;
     std::unique_ptr<credit_policy> policy;
     std::vector<member> members;
 
@@ -47,6 +48,11 @@
         return found != nullptr ? *found : members.emplace_back(member{entry, {}}).account;
     }
 
+    bool canRun() const
+    {
+        return !closed && (!limitsRunning || totals.running < totals.slots);
+    }
+
     // Turns a held start of an entry into a running task.
     void runHeld(credit_account &account)
     {
@@ -103,10 +109,11 @@
 
 } // namespace detail
 
-credit_allocator::credit_allocator(std::uint32_t slots, std::string_view policy)
+credit_allocator::credit_allocator(std::uint32_t slots, std::string_view policy, bool limitsRunning)
     : d(std::make_unique<detail::credit_allocator_private>())
 {
     d->totals.slots = slots;
+    d->limitsRunning = limitsRunning;
     d->policy = makeCreditPolicy(policy);
 }
 
@@ -155,7 +162,7 @@
 {
     credit_account &account = d->findOrAdd(entry);
     --account.granted;
-    if (d->closed || d->totals.running >= d->totals.slots) {
+    if (!d->canRun()) {
         return false;
     }
     ++account.running;
@@ -193,7 +200,7 @@
 
 std::optional<entry_id> credit_allocator::takeHeld(const std::function<bool(const entry_id &)> &canRun)
 {
-    if (d->closed || d->totals.running >= d->totals.slots) {
+    if (!d->canRun()) {
         return std::nullopt;
     }
     detail::credit_allocator_private::member *chosen = nullptr;
@@ -212,7 +219,7 @@
 bool credit_allocator::takeHeldOf(const entry_id &entry)
 {
     credit_account *account = d->find(entry);
-    if (d->closed || d->totals.running >= d->totals.slots || account == nullptr || account->held == 0) {
+    if (!d->canRun() || account == nullptr || account->held == 0) {
         return false;
     }
     d->runHeld(*account);
--- a/src/place/credit_allocator.h
+++ b/src/place/credit_allocator.h
@@ -40,9 +40,11 @@
      * Creates an allocator with all slots free.
      * @param slots tasks that the endpoint runs at once
      * @param policy name in the table of credit policies
+     * @param limitsRunning no more tasks run than there are slots; false if the agent checks the resources of the endpoint itself
+     * and the slots are only an estimate
      * @throws std::out_of_range if there is no such policy
      */
-    explicit credit_allocator(std::uint32_t slots, std::string_view policy = "shared");
+    explicit credit_allocator(std::uint32_t slots, std::string_view policy = "shared", bool limitsRunning = true);
     ~credit_allocator();
 
     credit_allocator(const credit_allocator &) = delete;
--- a/src/place/credits_strategy.cpp
+++ b/src/place/credits_strategy.cpp
@@ -2,12 +2,27 @@
 
 #include "place/pool_choice.h"
 
+#include <algorithm>
+
 namespace teaselward
 {
 
+namespace
+{
+
+// Starts without a credit that the kinds that come first may have at one endpoint; they wait there for the next free slot.
+constexpr std::int32_t Overdraft = 2;
+
+} // namespace
+
 std::uint32_t credits_strategy::level(const endpoint_record &endpoint) const
 {
-    return endpoint.credits > 0 ? static_cast<std::uint32_t>(endpoint.credits) : 0;
+    return static_cast<std::uint32_t>(std::max(0, endpoint.credits + Overdraft));
+}
+
+std::uint32_t credits_strategy::reservedLevels() const
+{
+    return Overdraft;
 }
 
 std::size_t credits_strategy::choose(std::span<const endpoint_pool *const> pools, random_source &random, const load_probe & /*probe*/) const
--- a/src/place/placement_strategy.h
+++ b/src/place/placement_strategy.h
@@ -28,6 +28,12 @@
      */
     virtual std::uint32_t level(const endpoint_record &endpoint) const = 0;
 
+    /** @return levels up to this one are for the kinds that come first */
+    virtual std::uint32_t reservedLevels() const
+    {
+        return 0;
+    }
+
     /**
      * Chooses an endpoint.
      * @param pools pools that have a placeable endpoint; not empty
--- a/src/place/slot_table.cpp
+++ b/src/place/slot_table.cpp
@@ -81,7 +81,7 @@
     }
 }
 
-bool slot_table::isPlaceable(std::string_view kind, mono_time now)
+bool slot_table::isPlaceable(std::string_view kind, mono_time now, bool comesFirst)
 {
     d->applyDue(now);
     const auto found = d->kindNames.find(kind);
@@ -89,15 +89,16 @@
         return false;
     }
     const auto &pools = d->kinds[found->second].pools;
+    const std::uint32_t reserved = comesFirst ? 0 : d->strategy->reservedLevels();
     return std::any_of(pools.begin(),
                        pools.end(),
-                       [this](std::size_t pool) {
-                           return d->pools[pool].highest() > 0;
+                       [this, reserved](std::size_t pool) {
+                           return d->pools[pool].highest() > reserved;
                        })
         || d->findProbe(found->second) < d->probes.size();
 }
 
-std::optional<agent_id> slot_table::acquire(std::string_view kind, mono_time now)
+std::optional<agent_id> slot_table::acquire(std::string_view kind, mono_time now, bool comesFirst)
 {
     d->applyDue(now);
     const auto found = d->kindNames.find(kind);
@@ -114,7 +115,7 @@
     } else {
         d->candidates.clear();
         for (const std::size_t pool : d->kinds[found->second].pools) {
-            if (d->pools[pool].highest() > 0) {
+            if (d->pools[pool].highest() > (comesFirst ? 0 : d->strategy->reservedLevels())) {
                 d->candidates.push_back(&d->pools[pool]);
             }
         }
--- a/src/place/slot_table_private.cpp
+++ b/src/place/slot_table_private.cpp
@@ -88,7 +88,8 @@
     std::uint32_t level = 0;
     if (fit) {
         const std::uint32_t limit = health_monitor::limit(record);
-        level = limit == record.info.slots ? strategy->level(record) : std::min(strategy->level(record), limit - std::min(limit, record.outstanding));
+        level = limit == record.info.slots ? strategy->level(record)
+                                           : std::min(strategy->level(record), strategy->reservedLevels() + limit - std::min(limit, record.outstanding));
     }
     if (level != record.level) {
         pools[record.pool].setLevel(endpoints, index, level);
@@ -121,7 +122,7 @@
         const endpoint_record &record = endpoints[probes[i]];
         const auto &offered = kinds[kind].pools;
         const bool offers = std::find(offered.begin(), offered.end(), record.pool) != offered.end();
-        if (record.connected && offers && record.holdUntil <= latest && strategy->level(record) > 0) {
+        if (record.connected && offers && record.holdUntil <= latest && strategy->level(record) > strategy->reservedLevels()) {
             return i;
         }
     }
--- a/src/rpc/task_codec.cpp
+++ b/src/rpc/task_codec.cpp
@@ -49,6 +49,7 @@
     out.setMemoryMb(value.needs.memoryMb);
     out.setGpus(value.needs.gpus);
     out.setRestartable(value.restartable);
+    out.setComesFirst(value.comesFirst);
     out.setHasSlack(value.slack.has_value());
     out.setSlackMs(value.slack.value_or(std::chrono::milliseconds::zero()).count());
 }
@@ -65,6 +66,7 @@
     value.key = plainText(in.getKey());
     value.needs = {.cpuMillis = in.getCpuMillis(), .memoryMb = in.getMemoryMb(), .gpus = in.getGpus()};
     value.restartable = in.getRestartable();
+    value.comesFirst = in.getComesFirst();
     if (in.getHasSlack()) {
         value.slack = plainDuration<std::chrono::milliseconds>(in.getSlackMs());
     }
--- a/src/rpc/wire.capnp
+++ b/src/rpc/wire.capnp
@@ -49,6 +49,7 @@
   restartable @10 :Bool;
   hasSlack @11 :Bool;
   slackMs @12 :Int64;
+  comesFirst @13 :Bool;
 }
 
 struct AgentInfo {
--- a/src/rpc/wire.capnp.h
+++ b/src/rpc/wire.capnp.h
@@ -1482,6 +1482,8 @@
 
   inline  ::int64_t getSlackMs() const;
 
+  inline bool getComesFirst() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1569,6 +1571,9 @@
   inline  ::int64_t getSlackMs();
   inline void setSlackMs( ::int64_t value);
 
+  inline bool getComesFirst();
+  inline void setComesFirst(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6416,6 +6421,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StartOrder::Reader::getComesFirst() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+
+inline bool StartOrder::Builder::getComesFirst() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+inline void StartOrder::Builder::setComesFirst(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AgentInfo::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- /dev/null
+++ b/tests/agent/first_kinds_reserve_test.cpp
@@ -0,0 +1,40 @@
+#include "agent/first_kinds_reserve.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(first_kinds_reserve_test)
+
+// Guards against an endpoint that has no room for the kind that comes first between two of its jobs.
+BOOST_AUTO_TEST_CASE(keepsRoomForWhatWasUsedLately)
+{
+    first_kinds_reserve reserve;
+    mono_time now{1h};
+    const task_resources needs{.cpuMillis = 4000};
+    for (int i = 0; i < 100; ++i) { // Half of the time one task.
+        reserve.started(needs, now);
+        now += 50ms;
+        reserve.ended(needs, now);
+        now += 50ms;
+    }
+    BOOST_TEST(reserve.unusedMillis(now) >= 1200U);
+    BOOST_TEST(reserve.unusedMillis(now) <= 2000U);
+    reserve.started(needs, now);
+    BOOST_TEST(reserve.unusedMillis(now) == 0U); // It uses its reserve itself.
+}
+
+// Guards against room that is kept free although nobody asks for it any more.
+BOOST_AUTO_TEST_CASE(endsWithTheDemand)
+{
+    first_kinds_reserve reserve;
+    mono_time now{1h};
+    reserve.started({.cpuMillis = 8000}, now);
+    now += 20s;
+    reserve.ended({.cpuMillis = 8000}, now);
+    BOOST_TEST(reserve.unusedMillis(now) >= 6000U);
+    BOOST_TEST(reserve.unusedMillis(now + 10s) <= 100U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/config/route_rules_test.cpp
@@ -0,0 +1,43 @@
+#include "config/route_rules.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace teaselward;
+
+namespace
+{
+
+route_config routesWith(std::uint32_t first, std::uint32_t second)
+{
+    route_config config;
+    config.routes.resize(2);
+    config.routes[0].kind = "a";
+    config.routes[0].priority = first;
+    config.routes[1].kind = "b";
+    config.routes[1].priority = second;
+    return config;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(route_rules_test)
+
+// Guards against a reserve for the wrong kind, and against one where all kinds are alike.
+BOOST_AUTO_TEST_CASE(theLowestPriorityComesFirst)
+{
+    const rule_set rules = routeRules(routesWith(1, 2));
+    BOOST_TEST(rules.kinds.at("a").comesFirst);
+    BOOST_TEST(!rules.kinds.at("b").comesFirst);
+    BOOST_TEST(!routeRules(routesWith(1, 1)).kinds.at("a").comesFirst);
+    route_config apart = routesWith(1, 2);
+    apart.routes[1].service = "other";
+    BOOST_TEST(!routeRules(apart).kinds.at("a").comesFirst);
+}
+
+// Guards against a configuration without routes.
+BOOST_AUTO_TEST_CASE(noRoutesAreNoRules)
+{
+    BOOST_TEST(routeRules({}).kinds.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/job/overload_replay.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "agent/agent_core.h"
+#include "core/route_config.h"
+#include "job/entry_core.h"
+#include "log/null_log.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace teaselward
+{
+
+/** Kind of jobs that arrive in a replay. */
+struct replayed_kind {
+    std::string name;
+    std::uint32_t priority = 0;
+    double jobsPerSecond = 0;
+    double tasks = 1; ///< Mean number of tasks of a job.
+    std::chrono::milliseconds work{}; ///< Mean run time of a task at an endpoint of the usual speed.
+};
+
+/** What became of the jobs of one kind. */
+struct replayed_outcome {
+    std::size_t asked = 0;
+    std::size_t inTime = 0; ///< Answered within the objective.
+    std::size_t late = 0; ///< Answered within three times the objective.
+    std::size_t refused = 0;
+
+    /** @return part of the jobs that were answered within their objective */
+    double partInTime() const
+    {
+        return asked == 0 ? 1 : static_cast<double>(inTime) / static_cast<double>(asked);
+    }
+};
+
+/**
+ * Three entries and the agents of some endpoints in virtual time, under generated arrivals of the shape of the users' kinds:
+ * log-normal numbers of tasks, run times and processor needs, declared run times that are off by 0.4. Nothing fails, so that
+ * only the decisions on order, admission and placement tell.
+ */
+class overload_replay
+{
+public:
+    /**
+     * Creates the processes.
+     * @param kinds kinds of jobs
+     * @param endpoints number of endpoints of 32 cores; every third has 48 cores and takes 1.3 times as long
+     * @param seed seed of everything random
+     */
+    overload_replay(std::vector<replayed_kind> kinds, std::size_t endpoints, std::uint32_t seed);
+    ~overload_replay();
+
+    /**
+     * Makes an endpoint slower or brings it back to its usual speed.
+     * @param endpoint its position
+     * @param factor factor of all run times of tasks that start from now on
+     */
+    void slow(std::size_t endpoint, double factor);
+
+    /**
+     * Lets jobs arrive for a while.
+     * @param length virtual time
+     * @param burst factor of the rate of one kind
+     * @param kind the kind whose rate is changed
+     */
+    void play(std::chrono::milliseconds length, double burst = 1, const std::string &kind = {});
+
+    /** @return outcomes by kind of the jobs that arrived since the last call */
+    std::map<std::string, replayed_outcome> takeOutcomes();
+
+private:
+    struct entry_process {
+        std::unique_ptr<entry_core> core;
+        mono_time wake = mono_time::max();
+    };
+    struct agent_process {
+        std::unique_ptr<agent_core> core;
+        double slowness = 1;
+        mono_time wake = mono_time::max();
+    };
+    struct open_job {
+        std::string kind;
+        mono_time arrival{};
+        std::chrono::microseconds objective{};
+        std::vector<std::chrono::microseconds> work; ///< Of each task.
+    };
+
+    void after(std::chrono::microseconds delay, std::function<void()> what);
+    void runUntil(mono_time end);
+    double lognormal(double mean, double spread);
+    void submit(const replayed_kind &kind);
+    void toEntry(std::size_t entry, const entry_event &event);
+    void toAgent(std::size_t agent, const agent_event &event);
+    void wakeEntry(std::size_t entry);
+    void wakeAgent(std::size_t agent);
+    void perform(std::size_t entry, const entry_action &action);
+    void perform(std::size_t agent, const agent_action &action);
+    void answered(const job_answer &answer, std::uint64_t request);
+
+    std::vector<replayed_kind> m_kinds;
+    std::mt19937 m_random;
+    null_log m_log;
+    mono_time m_now{std::chrono::hours(1)};
+    std::multimap<mono_time, std::function<void()>> m_due;
+    std::vector<entry_process> m_entries;
+    std::vector<agent_process> m_agents;
+    std::map<std::uint64_t, open_job> m_open; ///< By request.
+    std::map<std::string, std::uint64_t> m_requests; ///< By client key.
+    std::map<std::uint64_t, std::size_t> m_callers; ///< Entry of each start in progress, by call.
+    std::map<std::string, replayed_outcome> m_outcomes;
+    std::uint64_t m_lastRequest = 0;
+    std::uint64_t m_lastCall = 0;
+};
+
+} // namespace teaselward
--- /dev/null
+++ b/tests/job/overload_replay_test.cpp
@@ -0,0 +1,74 @@
+#include "job/overload_replay.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+
+using namespace teaselward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// The kinds of the Agence: short and wide, long, and frequent. They bring 245 cores of work to 411.
+std::vector<replayed_kind> agenceKinds()
+{
+    return {
+        {.name = "eligibility", .priority = 0, .jobsPerSecond = 34.4, .tasks = 8, .work = 60ms},
+        {.name = "order", .priority = 2, .jobsPerSecond = 6.25, .tasks = 4, .work = 900ms},
+        {.name = "lookup", .priority = 1, .jobsPerSecond = 100, .tasks = 2, .work = 200ms},
+    };
+}
+
+// Shows the outcomes with --log_level=message.
+void report(const std::string &title, const std::map<std::string, replayed_outcome> &outcomes)
+{
+    for (const auto &[kind, one] : outcomes) {
+        BOOST_TEST_MESSAGE(title << " " << kind << ": asked " << one.asked << " in time " << one.inTime << " late " << one.late << " refused " << one.refused);
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(overload_replay_test)
+
+// Guards against jobs that are late or refused although the endpoints have room.
+BOOST_AUTO_TEST_CASE(servesACalmDay)
+{
+    overload_replay replay(agenceKinds(), 11, 1);
+    replay.play(10s);
+    const auto outcomes = replay.takeOutcomes();
+    report("calm", outcomes);
+    for (const auto &[kind, one] : outcomes) {
+        BOOST_TEST_CONTEXT(kind)
+        BOOST_TEST(one.partInTime() >= 0.98);
+    }
+}
+
+// Replays two endpoints that leave and orders at 2.5 times their rate. Guards against short urgent jobs that wait behind long tasks.
+BOOST_AUTO_TEST_CASE(keepsTheUrgentKindInTimeWhileLongJobsFlood)
+{
+    overload_replay replay(agenceKinds(), 9, 2);
+    replay.play(4s);
+    replay.takeOutcomes();
+    replay.play(7s, 2.5, "order");
+    const auto outcomes = replay.takeOutcomes();
+    report("flood of orders", outcomes);
+    BOOST_TEST(outcomes.at("eligibility").partInTime() >= 0.8);
+}
+
+// Replays the loss of two endpoints for the rest of a day: 90 % of what is left is asked for.
+BOOST_AUTO_TEST_CASE(servesMostInTimeAtNineTenthsOfTheCapacity)
+{
+    overload_replay replay(agenceKinds(), 8, 3);
+    replay.play(20s);
+    const auto outcomes = replay.takeOutcomes();
+    report("nine tenths", outcomes);
+    BOOST_TEST(outcomes.at("eligibility").partInTime() >= 0.9);
+    for (const auto &[kind, one] : outcomes) {
+        BOOST_TEST_CONTEXT(kind)
+        BOOST_TEST(one.partInTime() >= 0.8);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/place/slot_table_test.cpp
+++ b/tests/place/slot_table_test.cpp
@@ -82,6 +82,22 @@
     BOOST_CHECK_THROW(slot_table("credit", 1), std::out_of_range);
 }
 
+// Guards against an urgent task that waits at its entry while all slots are taken by others, and against a line of them at one agent.
+BOOST_AUTO_TEST_CASE(aKindThatComesFirstMayStartTwiceBeyondTheCredits)
+{
+    while (table.acquire("kind", now)) {
+    }
+    std::map<std::uint64_t, int> beyond;
+    while (const auto agent = table.acquire("kind", now, true)) {
+        ++beyond[agent->value];
+    }
+    BOOST_TEST(beyond.size() == 6U);
+    for (const auto &[agent, starts] : beyond) {
+        BOOST_TEST(starts == 2);
+    }
+    BOOST_TEST(!table.isPlaceable("kind", now, true));
+}
+
 // Guards against starts beyond the credits, and against load that does not spread over agents and failure domains.
 BOOST_AUTO_TEST_CASE(creditsBoundAndSpreadTheLoad)
 {
