Open a circuit breaker at the agent of an endpoint that fails or hangs

Change: the agent refuses starts after bad ends of three jobs in a row, lets one task through after 0.25 s and then up to every second, and gives the held starts back at once. A run without progress is stopped after 0.15 of its declared time, at least 150 ms; without a declared time after 450 ms as before, which would stop tasks of 45 s and more that progress as they should.

--- a/src/agent/action/call_endpoint.h
+++ b/src/agent/action/call_endpoint.h
@@ -15,6 +15,7 @@
     std::string payload;
     std::chrono::milliseconds timeLimit{};
     std::string key{}; ///< Identifier of the job that the caller chose; may be empty.
+    std::chrono::milliseconds estimate{}; ///< Run time as the caller declares it; zero if unknown.
 };
 
 } // namespace teaselward
--- a/src/agent/agent_core_held.cpp
+++ b/src/agent/agent_core_held.cpp
@@ -15,10 +15,12 @@
 {
     m_ledger.recordStart(order.id);
     m_room.take(order.needs);
+    m_breaker.started(m_now);
     if (order.comesFirst) {
         m_reserve.started(order.needs, m_now);
     }
     m_running[order.id] = {.calls = {{.call = call, .from = from, .session = m_sessions.current(from)}},
+                           .job = order.key,
                            .needs = order.needs,
                            .comesFirst = order.comesFirst,
                            .restartable = order.restartable,
@@ -26,13 +28,14 @@
     if (m_log.isEnabled()) {
         m_log.write(log_part::agent, concat("Started a task. ", taskText(order.id), " kind=", order.kind, " entry=", from.value, " job=", order.key));
     }
-    m_actions->push_back(call_endpoint{.id = order.id, .kind = order.kind, .payload = order.payload, .timeLimit = order.timeLimit, .key = order.key});
+    m_actions->push_back(call_endpoint{
+        .id = order.id, .kind = order.kind, .payload = order.payload, .timeLimit = order.timeLimit, .key = order.key, .estimate = order.estimate});
 }
 
 // Tells whether a task fits beside those that run and what is reserved for the kinds that come first.
 bool agent_core_private::fits(const start_order &order)
 {
-    return m_room.fits(order.needs, order.comesFirst ? 0 : m_reserve.unusedMillis(m_now));
+    return (!order.restartable || m_breaker.admits(m_now)) && m_room.fits(order.needs, order.comesFirst ? 0 : m_reserve.unusedMillis(m_now));
 }
 
 // Gives free slots to held starts. The time that a start was held counts against its limit.
@@ -89,6 +92,19 @@
     }
 }
 
+// Lets the entries place elsewhere what waits for an endpoint whose tasks fail or stand still.
+void agent_core_private::openBreaker()
+{
+    if (m_log.isEnabled()) {
+        m_log.write(log_part::agent, concat("Tasks fail or stand still; starts are refused but for trials. running=", m_running.size()));
+    }
+    refuseAllHeld(
+        [](const held_start &held) {
+            return held.order.restartable;
+        },
+        reason::noEndpoint);
+}
+
 // Forgets the held starts of a session that has ended. The entry revokes them, and nobody waits for an answer.
 void agent_core_private::dropHeldOf(const entry_id &entry)
 {
--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -121,6 +121,8 @@
     } else if (!m_ledger.hasRoom() || !isConnected || !m_room.canEverFit(event.order.needs)) {
         // A credit that was not taken is returned, unless its session has ended.
         refuse(reason::overloaded, isConnected ? UntakenCredit : 0);
+    } else if (event.order.restartable && !m_breaker.admits(m_now)) {
+        refuse(reason::noEndpoint, UntakenCredit);
     } else if (fits(event.order) ? m_credits.take(event.from) : m_credits.spend(event.from)) {
         run(event.call, event.from, event.order);
     } else if (m_credits.hold(event.from)) {
@@ -248,6 +250,7 @@
         return;
     }
     const std::vector<waiting_call> calls = std::move(found->second.calls);
+    const bool hasOpened = found->second.restartable && m_breaker.record(found->second.job, event.outcome, m_now);
     m_room.release(found->second.needs);
     if (found->second.comesFirst) {
         m_reserve.ended(found->second.needs, m_now);
@@ -272,6 +275,9 @@
         m_actions->push_back(answer_start{.call = one.call, .id = event.id, .outcome = event.outcome, .credits = credits});
         credits = UntakenCredit;
     }
+    if (hasOpened) {
+        openBreaker();
+    }
     runHeld();
 }
 
--- a/src/agent/agent_core_private.h
+++ b/src/agent/agent_core_private.h
@@ -3,6 +3,7 @@
 #include "agent/agent_action.h"
 #include "agent/agent_core_settings.h"
 #include "agent/agent_event.h"
+#include "agent/endpoint_breaker.h"
 #include "agent/endpoint_room.h"
 #include "agent/first_kinds_reserve.h"
 #include "agent/held_start_queue.h"
@@ -55,6 +56,7 @@
     void stopRun(const task_id &id, running_task &task);
     void run(const call_id &call, const entry_id &from, const start_order &order);
     bool fits(const start_order &order);
+    void openBreaker();
     void runHeld();
     std::optional<held_start> takeHeld();
     void refuseHeld(const held_start &start, reason why);
@@ -73,6 +75,7 @@
     absl::flat_hash_map<task_id, running_task> m_running;
     endpoint_room m_room;
     first_kinds_reserve m_reserve;
+    endpoint_breaker m_breaker;
     task_size_estimate m_taskSize;
     std::chrono::milliseconds m_sessionLease; ///< Zero if pauses are not watched for.
     std::optional<mono_time> m_drainEnd; ///< Set while the agent is leaving.
--- /dev/null
+++ b/src/agent/endpoint_breaker.cpp
@@ -0,0 +1,66 @@
+#include "agent/endpoint_breaker.h"
+
+#include <algorithm>
+
+namespace teaselward
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Jobs in a row. One job in twenty that can never be done gives three in a row once in 8,000 jobs, and that costs one interval.
+constexpr std::uint32_t BadJobs = 3;
+constexpr milliseconds FirstInterval(250); // A task that stands still is stopped after 150 to 200 ms.
+constexpr milliseconds LongestInterval(1000);
+
+bool isBad(const task_outcome &outcome)
+{
+    return outcome.verdict == task_verdict::failed || (outcome.verdict == task_verdict::interrupted && outcome.why == reason::runStalled);
+}
+
+} // namespace
+
+bool endpoint_breaker::record(const std::string &job, const task_outcome &outcome, mono_time now)
+{
+    if (outcome.verdict == task_verdict::succeeded) {
+        m_badJobs = 0;
+        m_lastBadJob.clear();
+        m_open = false;
+        return false;
+    }
+    if (!isBad(outcome)) {
+        return false;
+    }
+    // Tasks of one job may all fail by its own fault.
+    m_badJobs += m_badJobs == 0 || job != m_lastBadJob ? 1 : 0;
+    m_lastBadJob = job;
+    if (m_open || m_badJobs < BadJobs) {
+        return false;
+    }
+    m_open = true;
+    m_interval = FirstInterval;
+    m_nextTrial = now + m_interval;
+    return true;
+}
+
+bool endpoint_breaker::admits(mono_time now) const
+{
+    return !m_open || now >= m_nextTrial;
+}
+
+void endpoint_breaker::started(mono_time now)
+{
+    if (m_open) {
+        m_interval = std::min(m_interval * 2, LongestInterval);
+        m_nextTrial = now + m_interval;
+    }
+}
+
+bool endpoint_breaker::isOpen() const
+{
+    return m_open;
+}
+
+} // namespace teaselward
--- a/src/agent/run/run_supervisor_private.cpp
+++ b/src/agent/run/run_supervisor_private.cpp
@@ -158,11 +158,19 @@
     if (progress.percent != run.percent || run.state != run_state::running) {
         run.percent = progress.percent;
         run.progressedAt = now;
-    } else if (now - run.progressedAt > settings.stallLimit) {
+    } else if (now - run.progressedAt > stallLimit(run)) {
         wantStop(run, reason::runStalled, now);
     }
 }
 
+std::chrono::milliseconds run_supervisor_private::stallLimit(const supervised_run &run) const
+{
+    if (run.order.estimate.count() == 0) {
+        return settings.stallLimit;
+    }
+    return std::max(settings.leastStallLimit, std::chrono::duration_cast<std::chrono::milliseconds>(settings.stallPart * run.order.estimate));
+}
+
 // Settles the runs that a list would name if they were there.
 void run_supervisor_private::applyAbsent(const run_lists &lists, mono_time now)
 {
--- a/src/agent/run/run_supervisor_private.h
+++ b/src/agent/run/run_supervisor_private.h
@@ -31,6 +31,7 @@
     void applyEnds(const run_lists &lists, mono_time now);
     void applyRunning(const run_lists &lists, mono_time now);
     void applyAbsent(const run_lists &lists, mono_time now);
+    std::chrono::milliseconds stallLimit(const supervised_run &run) const;
     void checkProgress(supervised_run &run, const run_progress &progress, mono_time now);
     void logRun(std::string_view sentence, const supervised_run &run, std::string_view why = {});
     void finish(const run_id &id, task_verdict verdict, reason why, mono_time now);
--- a/src/agent/running_task.h
+++ b/src/agent/running_task.h
@@ -3,6 +3,7 @@
 #include "agent/waiting_call.h"
 #include "core/task_resources.h"
 
+#include <string>
 #include <vector>
 
 namespace teaselward
@@ -11,6 +12,7 @@
 /** Task that runs on the endpoint. */
 struct running_task {
     std::vector<waiting_call> calls; ///< Who waits for the outcome; the first one ordered the start.
+    std::string job; ///< Name that its caller chose; may be empty.
     task_resources needs;
     bool comesFirst = false; ///< Counts for the reserve.
     bool restartable = false; ///< Stopped when its home is lost.
--- a/src/job/job_manager.cpp
+++ b/src/job/job_manager.cpp
@@ -115,6 +115,7 @@
     created->bytes = sizeof(job_record);
     created->key = job.key;
     created->needs = job.needs;
+    created->estimate = job.estimate;
     created->restartable = rule.restartable;
     created->attempts = rule.attempts;
     created->tasks.reserve(job.payloads.size());
--- a/src/job/job_record.h
+++ b/src/job/job_record.h
@@ -34,6 +34,7 @@
     std::size_t bytes = 0; ///< Size of the payloads.
     std::string key; ///< Identifier of the caller; may be empty.
     task_resources needs; ///< What each task takes of its endpoint.
+    std::chrono::milliseconds estimate{}; ///< Run time of a task as the caller declares it; zero if unknown.
     bool restartable = false; ///< Tasks may be started again.
     std::uint32_t attempts = 1; ///< Failed runs of a restartable task after which the job fails.
     bool hasRun = false; ///< A task was started and ended without a result; the answer can no longer say "not run".
--- a/src/job/task_placer.cpp
+++ b/src/job/task_placer.cpp
@@ -73,6 +73,7 @@
     action.order.key = job.key;
     action.order.needs = job.needs;
     action.order.restartable = job.restartable;
+    action.order.estimate = job.estimate;
     action.order.comesFirst = m_context.comesFirst(task.kind);
     if (task.due) {
         action.order.slack = std::chrono::floor<std::chrono::milliseconds>(*task.due - m_context.now);
--- a/src/rpc/task_codec.cpp
+++ b/src/rpc/task_codec.cpp
@@ -50,6 +50,7 @@
     out.setGpus(value.needs.gpus);
     out.setRestartable(value.restartable);
     out.setComesFirst(value.comesFirst);
+    out.setEstimateMs(value.estimate.count());
     out.setHasSlack(value.slack.has_value());
     out.setSlackMs(value.slack.value_or(std::chrono::milliseconds::zero()).count());
 }
@@ -67,6 +68,7 @@
     value.needs = {.cpuMillis = in.getCpuMillis(), .memoryMb = in.getMemoryMb(), .gpus = in.getGpus()};
     value.restartable = in.getRestartable();
     value.comesFirst = in.getComesFirst();
+    value.estimate = plainDuration<std::chrono::milliseconds>(in.getEstimateMs());
     if (in.getHasSlack()) {
         value.slack = plainDuration<std::chrono::milliseconds>(in.getSlackMs());
     }
--- a/src/rpc/wire.capnp
+++ b/src/rpc/wire.capnp
@@ -50,6 +50,7 @@
   hasSlack @11 :Bool;
   slackMs @12 :Int64;
   comesFirst @13 :Bool;
+  estimateMs @14 :Int64;
 }
 
 struct AgentInfo {
--- a/src/rpc/wire.capnp.h
+++ b/src/rpc/wire.capnp.h
@@ -165,7 +165,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d383fa57d566cab, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(9d383fa57d566cab, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1484,6 +1484,8 @@
 
   inline bool getComesFirst() const;
 
+  inline  ::int64_t getEstimateMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1574,6 +1576,9 @@
   inline bool getComesFirst();
   inline void setComesFirst(bool value);
 
+  inline  ::int64_t getEstimateMs();
+  inline void setEstimateMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6435,6 +6440,20 @@
       ::capnp::bounded<194>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t StartOrder::Reader::getEstimateMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StartOrder::Builder::getEstimateMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void StartOrder::Builder::setEstimateMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AgentInfo::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/agent/agent_core_test.cpp
+++ b/tests/agent/agent_core_test.cpp
@@ -444,6 +444,38 @@
     BOOST_TEST((agent.get<call_endpoint>().id == task(2)));
 }
 
+// Guards against starts of all entries at an endpoint whose tasks stand still.
+BOOST_AUTO_TEST_CASE(refusesStartsWhileTasksStandStill)
+{
+    agent_fixture agent(settingsWith(3));
+    const auto order = [&agent](std::uint64_t sequence) {
+        start_order one;
+        one.id = task(0, sequence);
+        one.key = "job " + std::to_string(sequence);
+        one.restartable = true;
+        one.timeLimit = 10s;
+        agent.handle(start_received{.call = {++agent.calls}, .from = Entry, .order = one});
+    };
+    for (std::uint64_t job = 1; job <= 4; ++job) {
+        order(job); // The fourth is held.
+    }
+    task_outcome stalled = outcome(task_verdict::interrupted);
+    stalled.why = reason::runStalled;
+    agent.finish(task(0, 1), stalled);
+    agent.finish(task(0, 2), stalled);
+    agent.finish(task(0, 4), stalled);
+    order(5);
+    BOOST_TEST(isRefused(agent, reason::noEndpoint));
+    agent.now += 300ms;
+    order(6); // A trial.
+    BOOST_TEST(agent.count<call_endpoint>() == 1U);
+    order(7);
+    BOOST_TEST(isRefused(agent, reason::noEndpoint));
+    agent.finish(task(0, 6), outcome(task_verdict::succeeded));
+    order(8);
+    BOOST_TEST(agent.count<call_endpoint>() == 1U);
+}
+
 // Guards against an idle agent that is woken.
 BOOST_AUTO_TEST_CASE(anIdleAgentWantsNoTimer)
 {
--- a/tests/agent/run/run_supervisor_test.cpp
+++ b/tests/agent/run/run_supervisor_test.cpp
@@ -69,9 +69,10 @@
         return first;
     }
 
-    void order(std::uint32_t index = 0, std::uint32_t attempt = 1)
+    void order(std::uint32_t index = 0, std::uint32_t attempt = 1, std::chrono::milliseconds estimate = 0ms)
     {
         call_endpoint call;
+        call.estimate = estimate;
         call.id = {.ticket = {.incarnation = 1, .sequence = 1}, .index = index, .attempt = attempt};
         call.key = "00112233aabbccdd";
         call.payload = "spec";
@@ -328,6 +329,25 @@
     BOOST_TEST((outcome->why == reason::runStalled));
 }
 
+// Guards against a short task that waits half a second at an endpoint that stands still, and against a stop of a long task that
+// progresses by a percent in 300 ms.
+BOOST_AUTO_TEST_CASE(judgesProgressByTheDeclaredRunTime)
+{
+    for (const auto &[estimate, stops] : {std::pair(60ms, 1U), std::pair(30000ms, 0U)}) {
+        supervised_endpoint endpoint;
+        endpoint.answerLists();
+        endpoint.order(0, 1, estimate);
+        endpoint.supervisor.startAnswered(run(), call_result::accepted, endpoint.now);
+        for (int i = 0; i < 4; ++i) {
+            endpoint.now += 50ms;
+            endpoint.supervisor.runTimers(endpoint.now);
+            endpoint.answerLists({{.id = run(), .percent = 0}});
+        }
+        endpoint.collect();
+        BOOST_TEST(endpoint.stops.size() == stops);
+    }
+}
+
 // Guards against runs that are given up while their lease may still hold, and against a lease that is extended for ever.
 BOOST_AUTO_TEST_CASE(givesUpASilentEndpointOnlyAfterItsLease)
 {
