Round the equal part of an entry's credits down

Cause: with 13 entries and endpoints of ten slots each entry kept one credit of every endpoint, so in a flood 13 starts were sent for ten slots.

Change: the equal part is rounded down. An entry that has neither a credit nor a task at an agent is told of its free slots as before. Test: overload_replay_test/servesFloodsThroughManyEntries.

--- a/src/place/shared_credit_policy.cpp
+++ b/src/place/shared_credit_policy.cpp
@@ -20,7 +20,7 @@
 std::int32_t shared_credit_policy::target(const credit_account &entry, const credit_totals &totals) const
 {
     const std::uint32_t entries = std::max(1U, totals.entries);
-    const auto equal = static_cast<std::int32_t>((totals.slots + entries - 1) / entries);
+    const auto equal = static_cast<std::int32_t>(totals.slots / entries);
     const auto told = static_cast<std::int32_t>(std::ceil(ToldPart * totals.free()));
     return std::max(told, equal - static_cast<std::int32_t>(entry.running + entry.held));
 }
--- a/tests/job/overload_replay.cpp
+++ b/tests/job/overload_replay.cpp
@@ -16,7 +16,6 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-constexpr std::size_t Entries = 3;
 constexpr std::uint64_t FirstAgent = 1000; // Ids of agents, to tell them from entries.
 constexpr microseconds Hop{500}; // One way between failure domains.
 constexpr milliseconds Target{60}; // Part of the objective that does not depend on the work.
@@ -32,10 +31,10 @@
 
 } // namespace
 
-overload_replay::overload_replay(std::vector<replayed_kind> kinds, std::size_t endpoints, std::uint32_t seed)
+overload_replay::overload_replay(std::vector<replayed_kind> kinds, std::size_t endpoints, std::uint32_t seed, std::size_t entries)
     : m_kinds(std::move(kinds))
     , m_random(seed)
-    , m_entries(Entries)
+    , m_entries(entries)
     , m_agents(endpoints)
 {
     route_config config;
@@ -62,7 +61,7 @@
         m_agents[agent].core = std::make_unique<agent_core>(settings, m_log);
         m_agents[agent].slowness = isLarge ? 1.3 : 1;
     }
-    for (std::size_t entry = 0; entry < Entries; ++entry) {
+    for (std::size_t entry = 0; entry < entries; ++entry) {
         entry_core_settings settings;
         settings.self = {.id = {entry + 1}, .address = "10.0.0." + std::to_string(entry + 1) + ":1", .failureDomain = "a"};
         settings.seed = seed + entry;
@@ -149,7 +148,7 @@
     ++m_outcomes[kind.name].asked;
     m_requests[job.key] = m_lastRequest;
     m_open[m_lastRequest] = std::move(open);
-    const std::size_t entry = m_random() % Entries;
+    const std::size_t entry = m_random() % m_entries.size();
     toEntry(entry, keyed_job_submitted{.request = request, .job = std::move(job)});
 }
 
--- a/tests/job/overload_replay.h
+++ b/tests/job/overload_replay.h
@@ -42,7 +42,7 @@
 };
 
 /**
- * Three entries and the agents of some endpoints in virtual time, under generated arrivals of the shape of the users' kinds:
+ * Entries and the agents of some endpoints in virtual time, under generated arrivals of the shape of the users' kinds:
  * log-normal numbers of tasks, run times and processor needs, declared run times that are off by 0.4. Nothing fails, so that
  * only the decisions on order, admission and placement tell.
  */
@@ -54,8 +54,9 @@
      * @param kinds kinds of jobs
      * @param endpoints number of endpoints of 32 cores; every third has 48 cores and takes 1.3 times as long
      * @param seed seed of everything random
+     * @param entries number of entries
      */
-    overload_replay(std::vector<replayed_kind> kinds, std::size_t endpoints, std::uint32_t seed);
+    overload_replay(std::vector<replayed_kind> kinds, std::size_t endpoints, std::uint32_t seed, std::size_t entries = 3);
     ~overload_replay();
 
     /**
--- a/tests/job/overload_replay_test.cpp
+++ b/tests/job/overload_replay_test.cpp
@@ -20,6 +20,16 @@
     };
 }
 
+// The same after growth, for 13 entries and 70 endpoints of which some are lost.
+std::vector<replayed_kind> grownKinds()
+{
+    return {
+        {.name = "eligibility", .priority = 0, .jobsPerSecond = 206, .tasks = 8, .work = 60ms},
+        {.name = "order", .priority = 2, .jobsPerSecond = 37.5, .tasks = 4, .work = 900ms},
+        {.name = "lookup", .priority = 1, .jobsPerSecond = 600, .tasks = 2, .work = 200ms},
+    };
+}
+
 // Shows the outcomes with --log_level=message.
 void report(const std::string &title, const std::map<std::string, replayed_outcome> &outcomes)
 {
@@ -71,6 +81,20 @@
     }
 }
 
+// Replays a flood of orders on many entries. Guards against starts that wait at agents whose slots many entries were told of.
+BOOST_AUTO_TEST_CASE(servesFloodsThroughManyEntries)
+{
+    overload_replay replay(grownKinds(), 50, 5, 13);
+    replay.play(3s);
+    replay.takeOutcomes();
+    replay.play(5s, 2.1, "order");
+    const auto outcomes = replay.takeOutcomes();
+    report("many entries", outcomes);
+    BOOST_TEST(outcomes.at("eligibility").partInTime() >= 0.8);
+    BOOST_TEST(outcomes.at("lookup").partInTime() >= 0.7);
+    BOOST_TEST(outcomes.at("order").partInTime() >= 0.7);
+}
+
 // Replays two endpoints that take five times as long for some seconds. Guards against a task there in most of the wide jobs.
 BOOST_AUTO_TEST_CASE(keepsWorkAwayFromSlowEndpoints)
 {
