--- a/src/agent/held_start.h
+++ b/src/agent/held_start.h
@@ -19,9 +19,6 @@
 
     /** @return latest start that meets the objective of its job, or nothing if it has none */
     std::optional<mono_time> due() const;
-
-    /** @return instant at which it is given back, so that its entry can place it elsewhere */
-    mono_time expiry() const;
 };
 
 } // namespace teaselward
--- a/src/agent/held_start_queue.cpp
+++ b/src/agent/held_start_queue.cpp
@@ -1,6 +1,7 @@
 #include "agent/held_start_queue.h"
 
 #include "agent/start_urgency.h"
+#include "place/credit_allocator.h"
 
 #include <algorithm>
 #include <utility>
@@ -51,17 +52,13 @@
 
 mono_time held_start_queue::nextDue() const
 {
-    mono_time due = mono_time::max();
-    for (const held_start &start : m_starts) {
-        due = std::min(due, start.expiry());
-    }
-    return due;
+    return m_starts.empty() ? mono_time::max() : m_starts.front().since + credit_allocator::LongestHold;
 }
 
 std::vector<held_start> held_start_queue::takeExpired(mono_time now)
 {
     return takeAll([now](const held_start &start) {
-        return start.expiry() <= now;
+        return start.since + credit_allocator::LongestHold <= now;
     });
 }
 
--- a/src/agent/held_start_queue.h
+++ b/src/agent/held_start_queue.h
@@ -51,11 +51,11 @@
      */
     std::vector<held_start> takeAll(const filter &isWanted);
 
-    /** @return instant at which the next start expires */
+    /** @return instant at which the oldest start has been held for the longest time allowed */
     mono_time nextDue() const;
 
     /**
-     * Takes the starts that have expired.
+     * Takes the starts that have been held for the longest time allowed.
      * @param now present time
      */
     std::vector<held_start> takeExpired(mono_time now);
