Keep the rounded credits apart as a policy of their own

Cause: rounding the equal part down in the shared policy broke credit_allocator_test/idleEntryKeepsACredit and refusedEntryGetsACreditAgain, which guard the promise of that policy to tell every idle entry of one slot.

Its promise is that an entry without a credit is told of the next slot that becomes free. Test: credit_allocator_test/scarceCreditsFollowTheFreeSlots.

--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -20,6 +20,12 @@
 // While there are sessions the core asks to be called this many times within their lease.
 constexpr int CallsPerLease = 2;
 
+// Tells whether the resources of the endpoint limit its tasks, and the slots are only an estimate.
+bool countsResources(const agent_core_settings &settings)
+{
+    return settings.capacity.cpuMillis > 0;
+}
+
 } // namespace
 
 template<auto Member, typename Event>
@@ -31,7 +37,7 @@
 agent_core_private::agent_core_private(const agent_core_settings &settings, decision_log &log)
     : m_log(log)
     , m_ledger(settings.retention, settings.maxRecords, settings.maxResultBytes)
-    , m_credits(settings.self.slots, "shared", settings.capacity.cpuMillis == 0)
+    , m_credits(settings.self.slots, countsResources(settings) ? "scarce" : "shared", !countsResources(settings))
     , m_room(settings.capacity)
     , m_taskSize(settings.capacity, settings.self.slots)
     , m_sessionLease(settings.sessionLease)
--- a/src/place/credit_policies.cpp
+++ b/src/place/credit_policies.cpp
@@ -1,6 +1,7 @@
 #include "place/credit_policies.h"
 
 #include "place/equal_credit_policy.h"
+#include "place/scarce_credit_policy.h"
 #include "place/shared_credit_policy.h"
 
 #include <array>
@@ -27,6 +28,7 @@
 
 constexpr std::array Table = {
     policy_entry{"shared", &make<shared_credit_policy>},
+    policy_entry{"scarce", &make<scarce_credit_policy>},
     policy_entry{"equal", &make<equal_credit_policy>},
 };
 
--- a/src/place/shared_credit_policy.cpp
+++ b/src/place/shared_credit_policy.cpp
@@ -19,12 +19,17 @@
 // That lets it come back at once after a pause, and costs no message.
 std::int32_t shared_credit_policy::target(const credit_account &entry, const credit_totals &totals) const
 {
-    const std::uint32_t entries = std::max(1U, totals.entries);
-    const auto equal = static_cast<std::int32_t>(totals.slots / entries);
+    const std::int32_t equal = equalPart(totals);
     const auto told = static_cast<std::int32_t>(std::ceil(ToldPart * totals.free()));
     return std::max(told, equal - static_cast<std::int32_t>(entry.running + entry.held));
 }
 
+std::int32_t shared_credit_policy::equalPart(const credit_totals &totals) const
+{
+    const std::uint32_t entries = std::max(1U, totals.entries);
+    return static_cast<std::int32_t>((totals.slots + entries - 1) / entries);
+}
+
 bool shared_credit_policy::redividesOnChange() const
 {
     return false;
--- a/src/place/shared_credit_policy.h
+++ b/src/place/shared_credit_policy.h
@@ -11,6 +11,10 @@
 public:
     std::int32_t target(const credit_account &entry, const credit_totals &totals) const override;
     bool redividesOnChange() const override;
+
+protected:
+    /** @return slots that each entry is told of however busy the endpoint is; at least one */
+    virtual std::int32_t equalPart(const credit_totals &totals) const;
 };
 
 } // namespace teaselward
--- a/tests/place/credit_allocator_test.cpp
+++ b/tests/place/credit_allocator_test.cpp
@@ -233,6 +233,22 @@
     }
 }
 
+// Guards against more starts than slots in a flood through many entries, and against an entry that is told of no slot any more.
+BOOST_AUTO_TEST_CASE(scarceCreditsFollowTheFreeSlots)
+{
+    credit_allocator allocator(2, "scarce");
+    allocator.join({1}, {});
+    BOOST_TEST(allocator.take({1}));
+    BOOST_TEST(allocator.take({1}));
+    for (std::uint64_t entry = 2; entry <= 20; ++entry) {
+        BOOST_TEST(deltaFor(allocator.join({entry}, {}), entry) == (entry == 2 ? 1 : 0)); // Two entries share two slots.
+    }
+    const auto grants = allocator.release({1}, {});
+    for (std::uint64_t entry = 3; entry <= 20; ++entry) {
+        BOOST_TEST(deltaFor(grants, entry) == 1);
+    }
+}
+
 // Guards against new work at an agent that is leaving.
 BOOST_AUTO_TEST_CASE(leavingAgentGrantsAndStartsNothing)
 {
