Bound what one run adds to the slowness of an endpoint

Cause: two tasks of several seconds among short ones excluded a healthy endpoint.

Change: one run adds at most 1 of the 3 that make an endpoint slow. Test: slot_table_test/singleLongTasksExcludeNoEndpoint.

--- a/src/place/health_monitor.cpp
+++ b/src/place/health_monitor.cpp
@@ -27,6 +27,8 @@
 constexpr double SlownessDrift = 0.6;
 // Three runs in a row that take five times as long reach it; at the usual spread it is a false alarm once in e^20 outcomes.
 constexpr double SlownessLimit = 3;
+// Most that one run adds: a single task of several seconds among short ones is no sign of a slow endpoint.
+constexpr double MostSlownessOfRun = 1;
 constexpr double SlowRun = 0.8; // A probe that takes 2.2 times the usual time shows that the endpoint is still slow.
 
 } // namespace
@@ -158,7 +160,7 @@
     const double excess = kind.runs < LeastRuns ? 0 : value - kind.logRunTime;
     ++kind.runs;
     kind.logRunTime += std::max(RunTimeStep, 1.0 / static_cast<double>(kind.runs)) * (value - kind.logRunTime);
-    endpoint.slowness = std::max(0.0, endpoint.slowness + excess - SlownessDrift);
+    endpoint.slowness = std::max(0.0, endpoint.slowness + std::min(excess - SlownessDrift, MostSlownessOfRun));
     return excess;
 }
 
--- a/tests/place/slot_table_test.cpp
+++ b/tests/place/slot_table_test.cpp
@@ -187,6 +187,17 @@
     BOOST_TEST((health(5) == endpoint_health::healthy));
 }
 
+// Guards against an endpoint that is taken for a slow one since two of its many tasks were long.
+BOOST_AUTO_TEST_CASE(singleLongTasksExcludeNoEndpoint)
+{
+    for (int i = 0; i < 600; ++i) {
+        now += milliseconds(5);
+        const auto agent = *table.acquire("kind", now);
+        release(agent, task_verdict::succeeded, milliseconds(i % 25 == 0 ? 4000 : 100));
+        BOOST_TEST((health(agent.value) == endpoint_health::healthy));
+    }
+}
+
 // Guards against a change of the work that is taken for slowness of the endpoints.
 BOOST_AUTO_TEST_CASE(longerTasksExcludeFewEndpoints)
 {
