Serve metrics of the agents on the users' platform

An agent now serves GET /metrics where its worker sends heartbeats: time of the runs by verdict and reason, calls without an answer, and lives of its worker. The writing of a summary is shared with the metrics of requests. No decision changes.

--- a/src/http/metrics_codec.cpp
+++ b/src/http/metrics_codec.cpp
@@ -104,7 +104,7 @@
     writeEndpoints(writer, status.endpoints);
     http_response response;
     response.body = writer.take();
-    response.contentType = "text/plain; version=0.0.4; charset=utf-8";
+    response.contentType = exposition_writer::ContentType;
     return response;
 }
 
--- a/src/metrics/exposition_writer.h
+++ b/src/metrics/exposition_writer.h
@@ -12,6 +12,8 @@
 class exposition_writer
 {
 public:
+    static constexpr std::string_view ContentType = "text/plain; version=0.0.4; charset=utf-8";
+
     using label = std::pair<std::string_view, std::string_view>; ///< Name and value.
 
     /**
--- a/src/metrics/request_metrics.cpp
+++ b/src/metrics/request_metrics.cpp
@@ -2,6 +2,7 @@
 
 #include "core/reason_text.h"
 #include "metrics/duration_distribution.h"
+#include "metrics/write_durations.h"
 
 #include <array>
 #include <map>
@@ -18,19 +19,6 @@
 // Indexed by the value of the enumerator.
 constexpr std::array<std::string_view, 4> Listeners = {"caller", "peer", "operator", "client"};
 
-// Quantiles that are shown, with their labels.
-constexpr std::array Quantiles = {
-    std::pair<double, std::string_view>{0.5, "0.5"},
-    std::pair<double, std::string_view>{0.9, "0.9"},
-    std::pair<double, std::string_view>{0.99, "0.99"},
-    std::pair<double, std::string_view>{0.999, "0.999"},
-};
-
-double secondsOf(std::chrono::microseconds time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 std::string_view outcomeText(reason outcome)
 {
     return outcome == reason::none ? "ok" : reasonText(outcome);
@@ -80,12 +68,7 @@
     for (const auto &[key, times] : d->requests) {
         const std::string_view listener = Listeners.at(static_cast<std::size_t>(key.first));
         const std::string_view outcome = outcomeText(key.second);
-        for (const auto &[probability, label] : Quantiles) {
-            writer.sample(
-                "teaselward_request_seconds", {{"listener", listener}, {"outcome", outcome}, {"quantile", label}}, secondsOf(times.quantile(probability)));
-        }
-        writer.sample("teaselward_request_seconds_sum", {{"listener", listener}, {"outcome", outcome}}, secondsOf(times.sum()));
-        writer.sample("teaselward_request_seconds_count", {{"listener", listener}, {"outcome", outcome}}, static_cast<double>(times.count()));
+        writeDurations(writer, "teaselward_request_seconds", {"listener", listener}, {"outcome", outcome}, times);
     }
     writer.family("teaselward_answers_dropped_total", "counter", "Answers whose connection was closed before they were sent.");
     writer.sample("teaselward_answers_dropped_total", {}, static_cast<double>(d->dropped));
--- /dev/null
+++ b/src/metrics/run_metrics.cpp
@@ -0,0 +1,83 @@
+#include "metrics/run_metrics.h"
+
+#include "core/reason_text.h"
+#include "metrics/duration_distribution.h"
+#include "metrics/exposition_writer.h"
+#include "metrics/write_durations.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string_view>
+#include <utility>
+
+namespace teaselward
+{
+
+namespace
+{
+
+// Indexed by the value of the enumerator.
+constexpr std::array<std::string_view, 5> Verdicts = {"succeeded", "failed", "not_started", "unknown", "interrupted"};
+
+} // namespace
+
+namespace detail
+{
+
+class run_metrics_private
+{
+public:
+    mutable absl::Mutex mutex;
+    std::map<std::pair<task_verdict, reason>, duration_distribution> runs ABSL_GUARDED_BY(mutex);
+    std::uint64_t unanswered ABSL_GUARDED_BY(mutex) = 0;
+    std::uint64_t lives ABSL_GUARDED_BY(mutex) = 0;
+};
+
+} // namespace detail
+
+run_metrics::run_metrics()
+    : d(std::make_unique<detail::run_metrics_private>())
+{
+}
+
+run_metrics::~run_metrics() = default;
+
+void run_metrics::countRun(const task_outcome &outcome)
+{
+    const absl::MutexLock lock(&d->mutex);
+    d->runs[{outcome.verdict, outcome.why}].add(outcome.runTime);
+}
+
+void run_metrics::countUnansweredCall()
+{
+    const absl::MutexLock lock(&d->mutex);
+    ++d->unanswered;
+}
+
+void run_metrics::countLife()
+{
+    const absl::MutexLock lock(&d->mutex);
+    ++d->lives;
+}
+
+std::string run_metrics::text() const
+{
+    const absl::MutexLock lock(&d->mutex);
+    exposition_writer writer;
+    writer.family("teaselward_run_seconds", "summary", "Time from the order of a run to its end, by verdict and reason.");
+    for (const auto &[key, durations] : d->runs) {
+        const std::string_view verdict = Verdicts.at(static_cast<std::size_t>(key.first));
+        writeDurations(writer, "teaselward_run_seconds", {"verdict", verdict}, {"reason", reasonText(key.second)}, durations);
+    }
+    writer.family("teaselward_unanswered_calls_total", "counter", "Calls to the endpoint without an answer.");
+    writer.sample("teaselward_unanswered_calls_total", {}, static_cast<double>(d->unanswered));
+    writer.family("teaselward_endpoint_lives_total", "counter", "Lives of the endpoint that were adopted.");
+    writer.sample("teaselward_endpoint_lives_total", {}, static_cast<double>(d->lives));
+    return writer.take();
+}
+
+} // namespace teaselward
--- /dev/null
+++ b/src/metrics/run_metrics.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/reason.h"
+#include "core/task_outcome.h"
+
+#include <memory>
+#include <string>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class run_metrics_private;
+}
+
+/** Metrics of the runs at the endpoint of an agent, over all lives of the endpoint. All threads may use them. */
+class run_metrics
+{
+public:
+    run_metrics();
+    ~run_metrics();
+
+    run_metrics(const run_metrics &) = delete;
+    run_metrics &operator=(const run_metrics &) = delete;
+
+    /**
+     * Counts a run that has ended or did not begin.
+     * @param outcome its outcome with the time from the order to the end
+     */
+    void countRun(const task_outcome &outcome);
+
+    /** Counts a call to the endpoint that got no answer. */
+    void countUnansweredCall();
+
+    /** Counts a life of the endpoint that was adopted. */
+    void countLife();
+
+    /** @return all metrics in the text exposition format */
+    std::string text() const;
+
+private:
+    std::unique_ptr<detail::run_metrics_private> d;
+};
+
+} // namespace teaselward
--- a/src/platform/heartbeat_api.cpp
+++ b/src/platform/heartbeat_api.cpp
@@ -2,6 +2,7 @@
 
 #include "core/concat.h"
 #include "http/http_exchange.h"
+#include "metrics/exposition_writer.h"
 #include "platform/heartbeat_codec.h"
 #include "platform/job_codec.h"
 
@@ -13,6 +14,7 @@
 namespace
 {
 
+constexpr std::string_view MetricsPath = "/metrics";
 constexpr std::string_view Prefix = "/teaselward/instances/";
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusNotFound = 404;
@@ -20,9 +22,10 @@
 
 } // namespace
 
-heartbeat_api::heartbeat_api(announced_function announced, withdrawn_function withdrawn, decision_log &log)
+heartbeat_api::heartbeat_api(announced_function announced, withdrawn_function withdrawn, metrics_function metrics, decision_log &log)
     : m_announced(std::move(announced))
     , m_withdrawn(std::move(withdrawn))
+    , m_metrics(std::move(metrics))
     , m_log(log)
 {
 }
@@ -45,6 +48,11 @@
     } else if (isWorker && request.method == "DELETE") {
         m_withdrawn(id);
         exchange.response = std::move(accepted);
+    } else if (request.path == MetricsPath) {
+        http_response metrics;
+        metrics.body = m_metrics();
+        metrics.contentType = exposition_writer::ContentType;
+        exchange.response = std::move(metrics);
     } else {
         exchange.response = encodeClientError(StatusNotFound, reason::malformed, "unknown path");
     }
--- a/src/platform/heartbeat_api.h
+++ b/src/platform/heartbeat_api.h
@@ -10,21 +10,24 @@
 namespace teaselward
 {
 
-/** Takes the heartbeats of the worker beside an agent. */
+/** Takes the heartbeats of the worker beside an agent, and serves the metrics of the agent. */
 class heartbeat_api : public request_handler
 {
 public:
     /** Receives a heartbeat, or the withdrawal of a worker by its id. Called by the listener's thread. */
     using announced_function = std::function<void(endpoint_announcement announcement)>;
     using withdrawn_function = std::function<void(std::string id)>;
+    /** Writes the metrics as text. Called by the listener's thread. */
+    using metrics_function = std::function<std::string()>;
 
     /**
      * Creates the handler.
      * @param announced receives heartbeats
      * @param withdrawn receives withdrawals
+     * @param metrics writes the metrics
      * @param log receiver of the log lines; it must outlive the handler
      */
-    heartbeat_api(announced_function announced, withdrawn_function withdrawn, decision_log &log);
+    heartbeat_api(announced_function announced, withdrawn_function withdrawn, metrics_function metrics, decision_log &log);
 
     bool handle(http_exchange &exchange) override;
     http_response refuseBody(reason why) override;
@@ -33,6 +36,7 @@
 private:
     announced_function m_announced;
     withdrawn_function m_withdrawn;
+    metrics_function m_metrics;
     decision_log &m_log;
 };
 
--- a/src/platform/readiness_api.cpp
+++ b/src/platform/readiness_api.cpp
@@ -1,6 +1,7 @@
 #include "platform/readiness_api.h"
 
 #include "http/http_exchange.h"
+#include "metrics/exposition_writer.h"
 #include "platform/job_codec.h"
 
 #include <utility>
@@ -31,7 +32,7 @@
     http_response response;
     if (exchange.request.path == MetricsPath) {
         response.body = m_metrics();
-        response.contentType = "text/plain; version=0.0.4; charset=utf-8";
+        response.contentType = exposition_writer::ContentType;
     } else if (exchange.request.path != Path) {
         response = encodeClientError(StatusNotFound, reason::malformed, "unknown path");
     } else {
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -33,10 +33,12 @@
 class worker_client_private
 {
 public:
-    worker_client_private(const worker_client_settings &clientSettings, std::function<void()> ready, std::function<void()> lost, decision_log &log)
+    worker_client_private(
+        const worker_client_settings &clientSettings, std::function<void()> ready, std::function<void()> lost, run_metrics &runMetrics, decision_log &log)
         : settings(clientSettings)
         , onReady(std::move(ready))
         , onLost(std::move(lost))
+        , metrics(runMetrics)
         , orders(settings.ringCapacity)
         , supervisor(settings.supervisor, mono_clock::now(), log)
     {
@@ -135,6 +137,9 @@
     void apply(const worker_exchange &exchange, call_result result)
     {
         const mono_time now = mono_clock::now();
+        if (result == call_result::unanswered) {
+            metrics.countUnansweredCall();
+        }
         if (const auto *start = std::get_if<start_run>(&exchange.call())) {
             supervisor.startAnswered(start->id, result, now);
         } else if (const auto *stop = std::get_if<stop_run>(&exchange.call())) {
@@ -151,6 +156,7 @@
     {
         bounded_ring<agent_event> *const ring = events;
         for (call_finished &end : supervisor.takeEnds()) {
+            metrics.countRun(end.outcome);
             if (ring != nullptr) {
                 ring->push(std::move(end));
             }
@@ -168,6 +174,7 @@
     const worker_client_settings settings;
     std::function<void()> onReady;
     std::function<void()> onLost;
+    run_metrics &metrics;
     bounded_ring<worker_order> orders;
     run_supervisor supervisor;
     CURLM *multi = nullptr;
@@ -181,8 +188,9 @@
 
 } // namespace detail
 
-worker_client::worker_client(const worker_client_settings &settings, std::function<void()> onReady, std::function<void()> onLost, decision_log &log)
-    : d(std::make_unique<detail::worker_client_private>(settings, std::move(onReady), std::move(onLost), log))
+worker_client::worker_client(
+    const worker_client_settings &settings, std::function<void()> onReady, std::function<void()> onLost, run_metrics &metrics, decision_log &log)
+    : d(std::make_unique<detail::worker_client_private>(settings, std::move(onReady), std::move(onLost), metrics, log))
 {
 }
 
--- a/src/platform/worker_client.h
+++ b/src/platform/worker_client.h
@@ -4,6 +4,7 @@
 #include "agent/endpoint_port.h"
 #include "base/bounded_ring.h"
 #include "log/decision_log.h"
+#include "metrics/run_metrics.h"
 #include "platform/worker_client_settings.h"
 
 #include <functional>
@@ -29,9 +30,10 @@
      * @param settings address and bounds
      * @param onReady called once by the thread when the worker takes starts
      * @param onLost called once by the thread when this life has ended
+     * @param metrics receiver of the ends and the unanswered calls; it must outlive the client
      * @param log receiver of the log lines; it must outlive the client
      */
-    worker_client(const worker_client_settings &settings, std::function<void()> onReady, std::function<void()> onLost, decision_log &log);
+    worker_client(const worker_client_settings &settings, std::function<void()> onReady, std::function<void()> onLost, run_metrics &metrics, decision_log &log);
     ~worker_client() override;
 
     worker_client(const worker_client &) = delete;
--- a/src/proc/watching_agent_process.cpp
+++ b/src/proc/watching_agent_process.cpp
@@ -5,6 +5,7 @@
 #include "base/duty_thread.h"
 #include "core/concat.h"
 #include "http/http_listener.h"
+#include "metrics/run_metrics.h"
 #include "platform/heartbeat_api.h"
 #include "platform/worker_client.h"
 #include "proc/agent_process.h"
@@ -60,6 +61,9 @@
               [this](std::string id) {
                   events.tryPush(endpoint_withdrawn{std::move(id)});
               },
+              [this] {
+                  return metrics.text();
+              },
               lines)
     {
         http_listener_settings listenerSettings{
@@ -122,6 +126,7 @@
     {
         endLife();
         ++life;
+        metrics.countLife();
         log.write(log_part::member,
                   concat("Adopting an endpoint. worker=",
                          announcement.id,
@@ -144,6 +149,7 @@
             [this, number = life] {
                 events.push(endpoint_lost{number});
             },
+            metrics,
             log);
     }
 
@@ -223,6 +229,7 @@
     decision_log &log;
     bounded_ring<watch_event> events{EventCapacity};
     endpoint_watch watch;
+    run_metrics metrics;
     heartbeat_api heartbeats;
     std::optional<http_listener> listener;
     std::unique_ptr<worker_client> client; ///< Until its worker is ready; then the agent owns it.
--- a/tests/process/platform_deployment.cpp
+++ b/tests/process/platform_deployment.cpp
@@ -150,6 +150,11 @@
     return m_front;
 }
 
+const std::string &platform_deployment::controlAddress() const
+{
+    return m_control;
+}
+
 const std::string &platform_deployment::readinessAddress() const
 {
     return m_readiness;
--- a/tests/process/platform_deployment.h
+++ b/tests/process/platform_deployment.h
@@ -55,6 +55,9 @@
     /** @return address of the readiness as IP:PORT */
     const std::string &readinessAddress() const;
 
+    /** @return address of the agent for heartbeats and metrics as IP:PORT */
+    const std::string &controlAddress() const;
+
     /** @return URL of the readiness */
     std::string readiness() const;
 
--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -64,6 +64,8 @@
     BOOST_TEST(system.worker().violations().empty());
     const std::string metrics = request(system.readinessAddress(), "GET", "/metrics").body;
     BOOST_TEST(metrics.find("teaselward_request_seconds_count{listener=\"client\",outcome=\"ok\"}") != std::string::npos);
+    const std::string runs = request(system.controlAddress(), "GET", "/metrics").body;
+    BOOST_TEST(runs.find("teaselward_run_seconds_count{verdict=\"succeeded\",reason=\"none\"}") != std::string::npos);
 }
 
 // Guards against requests that crash the front, hang, or start something although they are malformed.
