Test half-sent requests and a slow store on the users' platform

Both edges were listed as untested. The fronts and the follower of the routes behave as they should; no code changes. Tests: platform_test/aHalfSentRequestStartsNothing, followsTheRoutesOfASlowStore.

--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -85,6 +85,38 @@
     BOOST_TEST(system.worker().begun() == 0U);
 }
 
+// Guards against a request that is cut off half-way and starts something, holds up others or ends the process.
+BOOST_AUTO_TEST_CASE(aHalfSentRequestStartsNothing)
+{
+    platform_deployment system(CpuMillis);
+    system.publish(3);
+    system.waitUntilServing();
+    const std::size_t before = system.worker().begun();
+    const std::string head = "POST " + id(1) + " HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Type: application/json\r\nContent-Length: 400\r\n\r\n";
+    const raw_connection open(system.frontAddress());
+    BOOST_TEST(open.send(head + "{\"Spec\":\"half"));
+    {
+        const raw_connection closed(system.frontAddress());
+        BOOST_TEST(closed.send(head + "{\"Spec\":\"half"));
+        const raw_connection headOnly(system.frontAddress());
+        BOOST_TEST(headOnly.send(head.substr(0, head.size() / 2)));
+    }
+    BOOST_TEST(post(system.front() + id(2), job(3, 10), 20s).status == 200);
+    BOOST_TEST(system.worker().begun() == before + 3);
+}
+
+// Guards against routes that never arrive, and jobs that wait, while each answer of the store takes half a second.
+BOOST_AUTO_TEST_CASE(followsTheRoutesOfASlowStore)
+{
+    platform_deployment system(CpuMillis);
+    system.publish(3);
+    system.waitUntilServing();
+    system.store().setFaults({.delay = 500ms});
+    system.publish(4, true);
+    BOOST_TEST(post(system.front() + id(1), job(2, 10), 20s).status == 200);
+    BOOST_TEST(system.waitForStatus("/extra/", 200));
+}
+
 // Guards against a version that is not applied, that is lost behind a foreign record, or that reverts to an older one.
 BOOST_AUTO_TEST_CASE(followsTheRoutesAndNeverReverts)
 {
