Share the signal handling of the stand-ins and explain two constants

Read as a newcomer: three stand-ins waited for their stop with the same lines, a lookup used a type expression where two lines do, and two constants gave no reason. No decision changes.

--- a/src/agent/endpoint_breaker.cpp
+++ b/src/agent/endpoint_breaker.cpp
@@ -13,7 +13,7 @@
 // Jobs in a row. One job in twenty that can never be done gives three in a row once in 8,000 jobs, and that costs one interval.
 constexpr std::uint32_t BadJobs = 3;
 constexpr milliseconds FirstInterval(250); // A task that stands still is stopped after 150 to 200 ms.
-constexpr milliseconds LongestInterval(1000);
+constexpr milliseconds LongestInterval(1000); // An endpoint that has recovered gets work again within a second.
 
 bool isBad(const task_outcome &outcome)
 {
--- a/src/agent/run/supervisor_settings.h
+++ b/src/agent/run/supervisor_settings.h
@@ -16,7 +16,7 @@
      */
     std::chrono::milliseconds lease{650};
     std::chrono::milliseconds renewal{200}; ///< Longest wait of a list call, and so the distance of two renewals.
-    std::chrono::milliseconds busyListWait{50}; ///< The same while there are runs; the shortest kind of task runs for 60 ms.
+    std::chrono::milliseconds busyListWait{50}; ///< The same while there are runs, whose ends a lost answer hides for as long.
     std::chrono::milliseconds listRetry{20}; ///< Delay before a list without an answer is asked for again.
     std::chrono::milliseconds contactLimit{400}; ///< Without an answer for this time the lease is no longer extended.
     std::chrono::milliseconds stopRetry{100}; ///< Delay before a stop without an answer is sent again.
--- a/src/job/entry_context.h
+++ b/src/job/entry_context.h
@@ -64,8 +64,11 @@
      */
     bool comesFirst(std::string_view kind) const
     {
-        const auto found = rules ? rules->kinds.find(kind) : decltype(rules->kinds.find(kind)){};
-        return rules && found != rules->kinds.end() && found->second.comesFirst;
+        if (!rules) {
+            return false;
+        }
+        const auto found = rules->kinds.find(kind);
+        return found != rules->kinds.end() && found->second.comesFirst;
     }
 
     entry_core_settings settings;
--- a/tests/stub/endpoint_stub_main.cpp
+++ b/tests/stub/endpoint_stub_main.cpp
@@ -1,9 +1,8 @@
 #include "stub/endpoint_stub.h"
+#include "stub/stop_signals.h"
 
 #include <gflags/gflags.h>
-#include <pthread.h>
 
-#include <csignal>
 #include <exception>
 #include <iostream>
 
@@ -17,18 +16,12 @@
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    // Blocked before the threads start, so that only sigwait() takes the signals.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const teaselward::stop_signals signals;
     try {
         const teaselward::endpoint_stub stub(
             {FLAGS_listen, std::chrono::milliseconds(FLAGS_delay_ms), FLAGS_delay_from_payload, FLAGS_fail, FLAGS_decline, FLAGS_hang_up});
         std::cout << "listening " << stub.address() << std::endl;
-        int signal = 0;
-        sigwait(&signals, &signal);
+        signals.wait();
     } catch (const std::exception &error) {
         std::cerr << error.what() << '\n';
         return 1;
--- a/tests/stub/platform_log_stub.cpp
+++ b/tests/stub/platform_log_stub.cpp
@@ -1,8 +1,8 @@
+#include "stub/stop_signals.h"
 #include "support/log_server.h"
 
 #include <gflags/gflags.h>
 
-#include <csignal>
 #include <cstdint>
 #include <exception>
 #include <iostream>
@@ -14,12 +14,7 @@
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    // Blocked before the first thread starts, so that all threads inherit it and only sigwait() below gets the signal.
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const teaselward::stop_signals signals;
     try {
         teaselward::memory_log_settings settings;
         if (FLAGS_retention != 0) {
@@ -27,8 +22,7 @@
         }
         const teaselward::log_server server(FLAGS_listen, settings);
         std::cout << "listening " << server.address() << std::endl;
-        int signal = 0;
-        sigwait(&signals, &signal);
+        signals.wait();
     } catch (const std::exception &error) {
         std::cerr << "platform_log_stub: " << error.what() << '\n';
         return 1;
--- a/tests/stub/worker_stub_main.cpp
+++ b/tests/stub/worker_stub_main.cpp
@@ -1,8 +1,8 @@
+#include "stub/stop_signals.h"
 #include "support/worker_stub.h"
 
 #include <gflags/gflags.h>
 
-#include <csignal>
 #include <exception>
 #include <iostream>
 
@@ -14,17 +14,11 @@
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    // Blocked before the threads start, so that only sigwait() takes the signals.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const teaselward::stop_signals signals;
     try {
         const teaselward::worker_stub worker(FLAGS_listen, FLAGS_agent, FLAGS_cpu_millis);
         std::cout << "listening " << FLAGS_listen << std::endl;
-        int signal = 0;
-        sigwait(&signals, &signal);
+        signals.wait();
         const bool broke = !worker.violations().empty();
         for (const std::string &violation : worker.violations()) {
             std::cerr << "worker_stub: " << violation << '\n';
