--- a/src/agent/run/endpoint_watch.cpp
+++ b/src/agent/run/endpoint_watch.cpp
@@ -41,9 +41,18 @@
     return true;
 }
 
+void endpoint_watch::markConfirmed()
+{
+    m_confirmed = m_current;
+}
+
 void endpoint_watch::markLost()
 {
     m_isAdopted = false;
+    const bool isConfirmed = m_current && m_confirmed && m_confirmed->id == m_current->id && m_confirmed->endpointStart == m_current->endpointStart;
+    if (!isConfirmed) {
+        m_current = m_confirmed;
+    }
 }
 
 const std::optional<endpoint_announcement> &endpoint_watch::current() const
--- a/src/agent/run/endpoint_watch.h
+++ b/src/agent/run/endpoint_watch.h
@@ -34,7 +34,13 @@
      */
     bool applyStop(std::string_view id);
 
-    /** Marks the current instance as lost, so that its next heartbeat is adopted again. */
+    /** Records that the current instance has answered calls. Only then do heartbeats of earlier instances become outdated for good. */
+    void markConfirmed();
+
+    /**
+     * Marks the current instance as lost, so that its next heartbeat is adopted again. An instance that never answered is
+     * forgotten: its heartbeat may have come from another writer, and must not hide those of the real endpoint.
+     */
     void markLost();
 
     /** @return the newest accepted announcement; empty if there is none */
@@ -43,6 +49,7 @@
 private:
     std::string m_service;
     std::optional<endpoint_announcement> m_current;
+    std::optional<endpoint_announcement> m_confirmed; ///< The latest instance that has answered calls.
     bool m_isAdopted = false;
 };
 
--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -1,5 +1,6 @@
 #include "http/http_listener.h"
 
+#include "core/concat.h"
 #include "http/body_limiter.h"
 #include "http/http_error.h"
 #include "http/in_flight_counter.h"
@@ -14,8 +15,10 @@
 #include <atomic>
 #include <cstdarg>
 #include <cstdio>
+#include <exception>
 #include <string_view>
 #include <system_error>
+#include <utility>
 
 namespace teaselward
 {
@@ -95,7 +98,7 @@
             bodies.release(exchange.request);
             if (exchange.request.bodyRefusal != reason::none) {
                 exchange.response = handler.refuseBody(exchange.request.bodyRefusal);
-            } else if (!handler.handle(exchange)) {
+            } else if (!handle(exchange)) {
                 return MHD_YES; // Suspended; another thread may change the exchange from now on.
             }
         } else {
@@ -107,6 +110,21 @@
         return !exchange.response || sendResponse(exchange) ? MHD_YES : MHD_NO;
     }
 
+    // Calls the handler. An exception must not reach libmicrohttpd, where it would end the process.
+    bool handle(http_exchange &exchange)
+    {
+        try {
+            return handler.handle(exchange);
+        } catch (const std::exception &error) {
+            log.write(log_part::http, concat("A request failed. path=", exchange.request.path, " error=", error.what()));
+            http_response failed;
+            failed.status = MHD_HTTP_INTERNAL_SERVER_ERROR;
+            failed.why = reason::outcomeUnknown;
+            exchange.response = std::move(failed);
+            return true;
+        }
+    }
+
     // Deletes the exchange of a request after its response was sent or its connection was lost.
     void end(http_exchange *exchange, bool delivered)
     {
--- a/src/http/listen_address.cpp
+++ b/src/http/listen_address.cpp
@@ -61,6 +61,14 @@
     }
 }
 
+std::uint16_t listen_address::port() const
+{
+    if (m_address.ss_family == AF_INET6) {
+        return ntohs(reinterpret_cast<const sockaddr_in6 *>(&m_address)->sin6_port);
+    }
+    return ntohs(reinterpret_cast<const sockaddr_in *>(&m_address)->sin_port);
+}
+
 bool listen_address::isLoopback() const
 {
     if (m_address.ss_family == AF_INET6) {
--- a/src/http/listen_address.h
+++ b/src/http/listen_address.h
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,9 @@
      */
     explicit listen_address(std::string_view text);
 
+    /** @return port number; zero if the system chooses it */
+    std::uint16_t port() const;
+
     /** @return whether the address can be reached only from the same machine */
     bool isLoopback() const;
 
--- a/src/platform/heartbeat_codec.cpp
+++ b/src/platform/heartbeat_codec.cpp
@@ -1,8 +1,10 @@
 #include "platform/heartbeat_codec.h"
 
+#include "http/listen_address.h"
 #include "platform/json_reader.h"
 
-#include <limits>
+#include <algorithm>
+#include <system_error>
 
 namespace teaselward
 {
@@ -12,10 +14,32 @@
 
 using nlohmann::json;
 
-std::optional<std::uint32_t> readUint32(const json &object, const char *name)
+// Accepted values. Sums of the resources stay below the range of 32 bits.
+constexpr number_range Slots{.min = 0, .max = 4096};
+constexpr number_range CpuMillis{.min = 0, .max = 16'000'000};
+constexpr number_range MemoryMb{.min = 0, .max = 1U << 30};
+constexpr number_range Gpus{.min = 0, .max = 4096};
+constexpr number_range Sequence{.min = 0, .max = std::uint64_t{1} << 53}; // Larger integers are not exact in every JSON library.
+constexpr number_range StartMs{.min = 0, .max = 7'258'118'400'000}; // Until the year 2200.
+
+constexpr std::size_t MaxIdLength = 128;
+
+// Checks the id, which is sent back to the endpoint in a header: a line break in it would add a header.
+bool isId(std::string_view id)
+{
+    return !id.empty() && id.size() <= MaxIdLength && std::ranges::all_of(id, [](char c) {
+        return c > ' ' && c <= '~';
+    });
+}
+
+// Checks that the address names an endpoint that can be called: an IP address and a port other than zero.
+bool isCallable(const std::string &address)
 {
-    const auto value = readNumber(object, name);
-    return value && *value <= std::numeric_limits<std::uint32_t>::max() ? std::optional(static_cast<std::uint32_t>(*value)) : std::nullopt;
+    try {
+        return listen_address(address).port() > 0;
+    } catch (const std::system_error &) {
+        return false;
+    }
 }
 
 } // namespace
@@ -23,24 +47,24 @@
 std::optional<endpoint_announcement> decodeHeartbeat(std::string_view id, std::string_view text)
 {
     const auto object = parseJson(text);
-    if (!object || id.empty()) {
+    if (!object || !isId(id)) {
         return std::nullopt;
     }
     const auto service = readText(*object, "Service");
     const auto address = readText(*object, "Address");
     const auto zone = readText(*object, "Zone");
     const auto state = readText(*object, "State");
-    const auto slots = readUint32(*object, "Slots");
-    const auto sequence = readNumber(*object, "Sequence");
+    const auto slots = readNumber(*object, "Slots", Slots);
+    const auto sequence = readNumber(*object, "Sequence", Sequence);
     const json *capacity = findMember(*object, "Capacity");
     if (!service || !address || !zone || !state || !slots || !sequence || capacity == nullptr) {
         return std::nullopt;
     }
-    const auto cpu = readUint32(*capacity, "Cpu");
-    const auto memory = readUint32(*capacity, "MemMb");
-    const auto gpus = readOptionalNumber(*capacity, "Gpu");
-    const auto born = readOptionalNumber(*object, "born");
-    if (!cpu || !memory || !gpus || !born || (*state != "ready" && *state != "draining")) {
+    const auto cpu = readNumber(*capacity, "Cpu", CpuMillis);
+    const auto memory = readNumber(*capacity, "MemMb", MemoryMb);
+    const auto gpus = readOptionalNumber(*capacity, "Gpu", Gpus);
+    const auto born = readOptionalNumber(*object, "born", StartMs);
+    if (!cpu || !memory || !gpus || !born || (*state != "ready" && *state != "draining") || !isCallable(*address)) {
         return std::nullopt;
     }
     endpoint_announcement found;
@@ -49,8 +73,8 @@
     found.service = *service;
     found.address = *address;
     found.failureDomain = *zone;
-    found.slots = *slots;
-    found.capacity = {.cpuMillis = *cpu, .memoryMb = *memory, .gpus = static_cast<std::uint32_t>(*gpus)};
+    found.slots = static_cast<std::uint32_t>(*slots);
+    found.capacity = {.cpuMillis = static_cast<std::uint32_t>(*cpu), .memoryMb = static_cast<std::uint32_t>(*memory), .gpus = static_cast<std::uint32_t>(*gpus)};
     found.isDraining = *state == "draining";
     found.sequence = *sequence;
     return found;
--- a/src/platform/job_api.cpp
+++ b/src/platform/job_api.cpp
@@ -30,6 +30,9 @@
 // Maximum tasks of one job; the largest known jobs have 210.
 constexpr std::uint32_t MaxTasks = 4096;
 
+// A caller that would wait longer is treated as if it waited this long, so that times computed from it stay in range.
+constexpr std::int64_t MaxTimeoutMs = std::int64_t{24} * 60 * 60 * 1000;
+
 bool isId(std::string_view text)
 {
     return text.size() == IdLength && std::ranges::all_of(text, [](char c) {
@@ -47,7 +50,7 @@
     std::int64_t value = 0;
     const char *end = found->second.data() + found->second.size();
     const auto [parsed, error] = std::from_chars(found->second.data(), end, value);
-    return error == std::errc() && parsed == end && value > 0 ? std::optional(std::chrono::milliseconds(value)) : std::nullopt;
+    return error == std::errc() && parsed == end && value > 0 ? std::optional(std::chrono::milliseconds(std::min(value, MaxTimeoutMs))) : std::nullopt;
 }
 
 } // namespace
--- a/src/platform/route_codec.cpp
+++ b/src/platform/route_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/json_reader.h"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <utility>
@@ -14,6 +15,17 @@
 
 using nlohmann::json;
 
+// The store accepts only valid configurations, so a value beyond its limit is reduced to it instead of refusing all routes.
+constexpr std::uint64_t MaxDurationMs = std::uint64_t{24} * 60 * 60 * 1000;
+constexpr double MaxStretch = 1000;
+constexpr std::uint64_t MaxPriority = 100; // The weight of a kind halves with each priority.
+constexpr std::uint64_t MaxAttempts = 1000;
+
+std::uint64_t readUpTo(const json &item, const char *name, std::uint64_t limit, std::uint64_t otherwise)
+{
+    return std::min(readNumber(item, name).value_or(otherwise), limit);
+}
+
 std::optional<route> decodeRoute(const json &item)
 {
     const auto name = readText(item, "Name");
@@ -28,12 +40,12 @@
     found.host = *host;
     found.pathPrefix = *prefix;
     found.service = *service;
-    found.timeLimit = std::chrono::milliseconds(readNumber(item, "TimeoutMs").value_or(0));
-    found.target = std::chrono::milliseconds(readNumber(item, "TargetCompletionMs").value_or(0));
+    found.timeLimit = std::chrono::milliseconds(readUpTo(item, "TimeoutMs", MaxDurationMs, 0));
+    found.target = std::chrono::milliseconds(readUpTo(item, "TargetCompletionMs", MaxDurationMs, 0));
     const json *stretch = findMember(item, "Stretch");
-    found.stretch = stretch != nullptr && stretch->is_number() ? stretch->get<double>() : 1;
-    found.priority = static_cast<std::uint32_t>(readNumber(item, "Priority").value_or(0));
-    found.attempts = static_cast<std::uint32_t>(readNumber(item, "Attempts").value_or(1));
+    found.stretch = stretch != nullptr && stretch->is_number() ? std::clamp(stretch->get<double>(), 0.0, MaxStretch) : 1;
+    found.priority = static_cast<std::uint32_t>(readUpTo(item, "Priority", MaxPriority, 0));
+    found.attempts = static_cast<std::uint32_t>(readUpTo(item, "Attempts", MaxAttempts, 1));
     return found;
 }
 
--- a/src/platform/run_codec.cpp
+++ b/src/platform/run_codec.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -19,6 +20,9 @@
 
 using nlohmann::json;
 
+constexpr double MaxPercent = 100;
+constexpr number_range ClockMs{.min = 0, .max = std::uint64_t{1} << 53};
+
 constexpr long StatusOk = 200;
 constexpr long StatusBadRequest = 400;
 constexpr long StatusConflict = 409;
@@ -62,7 +66,7 @@
 
 std::optional<run_id> readRun(const json &name, const json &attempt)
 {
-    if (!name.is_string() || !attempt.is_number_unsigned()) {
+    if (!name.is_string() || !attempt.is_number_unsigned() || attempt.get<std::uint64_t>() > std::numeric_limits<std::uint32_t>::max()) {
         return std::nullopt;
     }
     const std::vector<std::string> parts = absl::StrSplit(name.get<std::string>(), '.');
@@ -85,7 +89,7 @@
     if (!id) {
         return false;
     }
-    progress = {.id = *id, .percent = static_cast<std::uint32_t>(std::max(0.0, row[3].get<double>()))};
+    progress = {.id = *id, .percent = static_cast<std::uint32_t>(std::clamp(row[3].get<double>(), 0.0, MaxPercent))};
     return true;
 }
 
@@ -161,12 +165,12 @@
     const auto object = parseJson(body);
     const json *running = object ? findMember(*object, "Running") : nullptr;
     const json *ended = object ? findMember(*object, "Finished") : nullptr;
-    const auto clock = object ? readNumber(*object, "ClockMs") : std::nullopt;
+    const auto clock = object ? readNumber(*object, "ClockMs", ClockMs) : std::nullopt;
     if (running == nullptr || !running->is_array() || ended == nullptr || !ended->is_array() || !clock) {
         return false;
     }
     lists.endpointTime = std::chrono::milliseconds(*clock);
-    if (const auto born = readNumber(*object, "born")) {
+    if (const auto born = readNumber(*object, "born", ClockMs)) {
         lists.endpointStart = std::chrono::milliseconds(*born);
     }
     for (const json &row : *running) {
--- a/src/proc/platform_agent_process.cpp
+++ b/src/proc/platform_agent_process.cpp
@@ -158,6 +158,7 @@
         if (std::get<endpoint_ready>(event).instance != instance || !client || isStopping) {
             return;
         }
+        watch.markConfirmed();
         const endpoint_announcement &current = *watch.current();
         log.write(log_part::member, concat("Serving an endpoint. worker=", current.id, " service=", current.service));
         agent_core_settings core;
--- a/tests/agent/run/endpoint_watch_test.cpp
+++ b/tests/agent/run/endpoint_watch_test.cpp
@@ -52,6 +52,32 @@
     BOOST_TEST((watch.applyHeartbeat(heartbeat(100ms, 6)) == announcement_effect::adopt));
 }
 
+// Guards against a heartbeat of another writer with a later start time that hides the heartbeats of the endpoint for good.
+BOOST_AUTO_TEST_CASE(forgetsAnInstanceThatNeverAnswered)
+{
+    endpoint_watch watch("register");
+    watch.applyHeartbeat(heartbeat(100ms, 5));
+    watch.markConfirmed();
+    endpoint_announcement other = heartbeat(9000ms, 1);
+    other.id = "i-other";
+    BOOST_TEST((watch.applyHeartbeat(other) == announcement_effect::adopt));
+    BOOST_TEST((watch.applyHeartbeat(heartbeat(100ms, 6)) == announcement_effect::unchanged));
+    watch.markLost();
+    BOOST_TEST((watch.applyHeartbeat(heartbeat(100ms, 7)) == announcement_effect::adopt));
+    BOOST_TEST((watch.applyHeartbeat(heartbeat(50ms, 9)) == announcement_effect::unchanged));
+}
+
+// Guards against a confirmed instance that has crashed and returns by a delayed heartbeat of an earlier one.
+BOOST_AUTO_TEST_CASE(keepsTheStartOfAConfirmedInstance)
+{
+    endpoint_watch watch("register");
+    watch.applyHeartbeat(heartbeat(200ms, 1));
+    watch.markConfirmed();
+    watch.markLost();
+    BOOST_TEST((watch.applyHeartbeat(heartbeat(100ms, 6)) == announcement_effect::unchanged));
+    BOOST_TEST((watch.applyHeartbeat(heartbeat(200ms, 2)) == announcement_effect::adopt));
+}
+
 // Guards against heartbeats of another service.
 BOOST_AUTO_TEST_CASE(ignoresOtherServices)
 {
