Ignore odd records of a list and keep copies of the routes

Cause: one record of another writer that could not be decoded made the whole list of the operators' records unreadable, and a key was put into a query without escaping. And a process that started while only the partition of the operators' records could not be read turned all requests away. Change: such a record is ignored with a log line. Each entry stores a copy of the routes in a topic of its own; a process that knows no version reads it. The test that refused a list with a malformed record is replaced: the list is accepted without that record, and a list that is malformed as a whole is still refused. Shown by: ignoresOddRecordsOfAList, route_follower_test.

--- a/src/config/route_follower.cpp
+++ b/src/config/route_follower.cpp
@@ -25,6 +25,9 @@
 // Delay before a failed read is retried. A version must be active 2 s after its acceptance, and the store may recover at any time.
 constexpr std::chrono::milliseconds RetryDelay{250};
 
+// Each attempt to store a copy may delay the next read, so there are few of them for one version.
+constexpr int MaxCopyAttempts = 3;
+
 } // namespace
 
 namespace detail
@@ -48,9 +51,12 @@
     {
         std::optional<std::uint64_t> next;
         while (!stopping.HasBeenNotified()) {
-            if (!readOnce(next)) {
+            if (readOnce(next)) {
+                storeCopy();
+            } else {
                 next.reset();
                 adoptFromPeer();
+                adoptStoredCopy();
                 stopping.WaitForNotificationWithTimeout(absl::FromChrono(RetryDelay));
             }
         }
@@ -71,6 +77,10 @@
             log.write(log_part::config, "The store answers again.");
         }
         next = position;
+        if (found.version > storeVersion) {
+            storeVersion = found.version;
+            copyAttempts = 0;
+        }
         if (found.version > 0) {
             apply(std::move(found), "store");
         }
@@ -99,6 +109,38 @@
         }
     }
 
+    // Stores a copy of a version that was read from the store, so that a process which starts in an outage finds it.
+    void storeCopy()
+    {
+        if (storeVersion <= copiedVersion || copyAttempts >= MaxCopyAttempts) {
+            return;
+        }
+        ++copyAttempts;
+        const auto current = [this] {
+            const absl::MutexLock lock(&mutex);
+            return copy;
+        }();
+        if (const std::error_code error = source.storeCopy(current->text)) {
+            log.write(log_part::config, concat("Cannot store a copy of the routes. version=", current->offset, " error=", error.message()));
+        } else {
+            copiedVersion = current->offset;
+        }
+    }
+
+    // A copy may be outdated, so it is used only while this process knows no version at all.
+    void adoptStoredCopy()
+    {
+        if (version > 0) {
+            return;
+        }
+        route_config found;
+        if (const std::error_code error = source.newestCopy(found)) {
+            log.write(log_part::config, concat("Cannot read a copy of the routes. error=", error.message()));
+        } else if (found.version > 0) {
+            apply(std::move(found), "copy");
+        }
+    }
+
     void apply(route_config found, std::string_view origin)
     {
         if (found.version <= version) {
@@ -125,6 +167,9 @@
     peer_config_source &peers;
     logger &log;
     std::uint64_t version = 0;
+    std::uint64_t storeVersion = 0; ///< Newest version that was read from the store.
+    std::uint64_t copiedVersion = 0; ///< Newest version of which a copy was stored.
+    int copyAttempts = 0; ///< Attempts to store a copy of storeVersion.
     bool isStoreDown = false;
     mutable absl::Mutex mutex;
     std::optional<config_copy> copy ABSL_GUARDED_BY(mutex);
--- a/src/config/route_source.h
+++ b/src/config/route_source.h
@@ -33,6 +33,20 @@
      */
     virtual std::error_code wait(std::uint64_t &next, std::chrono::milliseconds wait, route_config &found) = 0;
 
+    /**
+     * Stores a copy of a version, which newestCopy() finds even if the operators' records cannot be read.
+     * @param text text of the version
+     * @return no error, or an error of the platform layer
+     */
+    virtual std::error_code storeCopy(const std::string &text) = 0;
+
+    /**
+     * Reads the newest copy that can be reached. It may be older than the newest version.
+     * @param found set to the copy; its version number stays zero if there is none
+     * @return no error if a copy was found or none exists, otherwise an error of the platform layer
+     */
+    virtual std::error_code newestCopy(route_config &found) = 0;
+
     /**
      * Decodes a version from its text, which may come from a peer.
      * @param text the text
--- a/src/platform/http_platform_log.cpp
+++ b/src/platform/http_platform_log.cpp
@@ -5,6 +5,8 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
+#include <iterator>
 #include <new>
 #include <string>
 #include <utility>
@@ -24,6 +26,8 @@
 
     std::error_code perform(const std::string &path, std::chrono::milliseconds timeout, long &status);
     std::error_code translate(CURLcode result) const;
+    std::string escape(const std::string &text) const;
+    std::error_code append(const std::string &path, std::string_view body, std::chrono::milliseconds timeout, std::uint64_t &offset);
 
     static std::size_t receive(const char *data, std::size_t size, std::size_t count, void *self);
 };
@@ -62,6 +66,15 @@
     return connected == 0 ? platform_error::unavailable : platform_error::responseLost;
 }
 
+// Escapes a key for a query. Keys may contain any bytes.
+std::string http_platform_log_private::escape(const std::string &text) const
+{
+    char *escaped = curl_easy_escape(handle, text.data(), static_cast<int>(text.size()));
+    std::string result = escaped != nullptr ? escaped : "";
+    curl_free(escaped);
+    return result;
+}
+
 // Sends the request that the caller has prepared, with the options that all requests share.
 std::error_code http_platform_log_private::perform(const std::string &path, std::chrono::milliseconds timeout, long &status)
 {
@@ -92,10 +105,10 @@
 constexpr std::string_view ReadPath = "/teaselward/log-read";
 constexpr std::string_view NewestPath = "/teaselward/log-newest";
 
-// All streams and keyed topics have one partition.
-std::string topicPath(std::string_view call, std::string_view topic)
+// Streams and the topics of the operators have one partition.
+std::string topicPath(std::string_view call, std::string_view topic, std::uint32_t part = 0)
 {
-    return std::string(call) + "?Topic=" + std::string(topic) + "&part=0";
+    return std::string(call) + "?Topic=" + std::string(topic) + "&part=" + std::to_string(part);
 }
 
 // Maps an HTTP status to an error. After other server errors it is unknown whether the request took effect.
@@ -118,6 +131,35 @@
 
 } // namespace
 
+// Appends one record.
+std::error_code
+http_platform_log_private::append(const std::string &path, std::string_view body, std::chrono::milliseconds timeout, std::uint64_t &offset)
+{
+    // Suppresses the 'Expect' header of libcurl, which would cost a round trip for large bodies.
+    curl_slist *headers = curl_slist_append(nullptr, "Expect:");
+    headers = curl_slist_append(headers, "Content-Type: application/octet-stream");
+    curl_easy_reset(handle);
+    // libcurl automatically retries a request if a reused connection turns out to be closed. Whether an append is retried is the
+    // caller's decision, so each append uses a new connection.
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+    curl_easy_setopt(handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
+    const std::string record = encodeRecord(body);
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, record.data());
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(record.size()));
+    long status = 0;
+    std::error_code error = perform(path, timeout, status);
+    curl_slist_free_all(headers);
+    if (!error) {
+        error = statusError(status);
+    }
+    if (!error && !decodeAppendResponse(response, offset)) {
+        error = platform_error::badResponse;
+    }
+    return error;
+}
+
 } // namespace detail
 
 http_platform_log::http_platform_log(http_platform_log_settings settings)
@@ -137,29 +179,14 @@
 
 std::error_code http_platform_log::append(std::string_view stream, std::string_view body, std::chrono::milliseconds timeout, std::uint64_t &offset)
 {
-    // Suppresses the 'Expect' header of libcurl, which would cost a round trip for large bodies.
-    curl_slist *headers = curl_slist_append(nullptr, "Expect:");
-    headers = curl_slist_append(headers, "Content-Type: application/octet-stream");
-    curl_easy_reset(d->handle);
-    // libcurl automatically retries a request if a reused connection turns out to be closed. Whether an append is retried is the
-    // caller's decision, so each append uses a new connection.
-    curl_easy_setopt(d->handle, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(d->handle, CURLOPT_FORBID_REUSE, 1L);
-    curl_easy_setopt(d->handle, CURLOPT_POST, 1L);
-    curl_easy_setopt(d->handle, CURLOPT_HTTPHEADER, headers);
-    const std::string record = encodeRecord(body);
-    curl_easy_setopt(d->handle, CURLOPT_POSTFIELDS, record.data());
-    curl_easy_setopt(d->handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(record.size()));
-    long status = 0;
-    std::error_code error = d->perform(detail::topicPath(detail::AppendPath, stream), timeout, status);
-    curl_slist_free_all(headers);
-    if (!error) {
-        error = detail::statusError(status);
-    }
-    if (!error && !decodeAppendResponse(d->response, offset)) {
-        error = platform_error::badResponse;
-    }
-    return error;
+    return d->append(detail::topicPath(detail::AppendPath, stream), body, timeout, offset);
+}
+
+std::error_code
+http_platform_log::appendKeyed(std::string_view topic, std::uint32_t part, const keyed_record &record, std::chrono::milliseconds timeout)
+{
+    std::uint64_t offset = 0;
+    return d->append(detail::topicPath(detail::AppendPath, topic, part), encodeKeyedRecord(record), timeout, offset);
 }
 
 std::error_code http_platform_log::read(std::string_view stream, std::uint64_t from, std::chrono::milliseconds wait, log_page &page)
@@ -177,19 +204,19 @@
     return isMalformed ? platform_error::badResponse : error;
 }
 
-std::error_code http_platform_log::newest(std::string_view topic, std::vector<keyed_record> &records, std::uint64_t &next)
+std::error_code http_platform_log::newest(std::string_view topic, std::uint32_t part, std::chrono::milliseconds timeout, keyed_page &all)
 {
-    records.clear();
-    next = 0;
-    bool more = true;
-    while (more) {
+    all = {};
+    keyed_page page;
+    page.hasMore = true;
+    while (page.hasMore) {
         curl_easy_reset(d->handle);
-        std::string path = detail::topicPath(detail::NewestPath, topic);
-        if (!records.empty()) {
-            path += "&DependsOn=" + records.back().key; // The store's parameter for the last key of the previous page.
+        std::string path = detail::topicPath(detail::NewestPath, topic, part);
+        if (!all.lastKey.empty()) {
+            path += "&DependsOn=" + d->escape(all.lastKey); // The store's parameter for the last key of the previous page.
         }
         long status = 0;
-        std::error_code error = d->perform(path, d->settings.readTimeout, status);
+        std::error_code error = d->perform(path, timeout, status);
         if (!error) {
             error = detail::statusError(status);
         }
@@ -197,12 +224,13 @@
             return error;
         }
         // A read() from the end of the first page on returns the records that are appended while the pages are read.
-        std::uint64_t end = 0;
-        const std::size_t known = records.size();
-        if (!decodeNewestRecords(d->response, records, end, more) || (more && records.size() == known)) {
+        if (!decodeNewestRecords(d->response, page) || (page.hasMore && page.lastKey == all.lastKey)) {
             return platform_error::badResponse;
         }
-        next = next == 0 ? end : next;
+        std::ranges::move(page.records, std::back_inserter(all.records));
+        all.next = all.next == 0 ? page.next : all.next;
+        all.ignored += page.ignored;
+        all.lastKey = page.lastKey;
     }
     return {};
 }
--- a/src/platform/http_platform_log.h
+++ b/src/platform/http_platform_log.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "platform/http_platform_log_settings.h"
-#include "platform/keyed_record.h"
+#include "platform/keyed_page.h"
 #include "platform/platform_log.h"
 
 #include <memory>
-#include <vector>
 
 namespace teaselward
 {
@@ -36,11 +35,22 @@
     /**
      * Reads the latest record of each key of a keyed topic.
      * @param topic name of the topic
-     * @param records set to the records
-     * @param next set to the offset at which read() continues with later records
+     * @param part number of the partition
+     * @param timeout timeout of the request of each page
+     * @param all set to the records of all pages
      * @return no error, or an error of the platform layer
      */
-    std::error_code newest(std::string_view topic, std::vector<keyed_record> &records, std::uint64_t &next);
+    std::error_code newest(std::string_view topic, std::uint32_t part, std::chrono::milliseconds timeout, keyed_page &all);
+
+    /**
+     * Appends a record to a partition of a keyed topic.
+     * @param topic name of the topic
+     * @param part number of the partition
+     * @param record key and value; its offset is not used
+     * @param timeout timeout of the request
+     * @return no error, or an error of the platform layer
+     */
+    std::error_code appendKeyed(std::string_view topic, std::uint32_t part, const keyed_record &record, std::chrono::milliseconds timeout);
 
 private:
     std::unique_ptr<detail::http_platform_log_private> d;
--- a/src/platform/platform_log_codec.cpp
+++ b/src/platform/platform_log_codec.cpp
@@ -1,8 +1,11 @@
 #include "platform/platform_log_codec.h"
 
+#include "platform/json_reader.h"
+
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -88,6 +91,20 @@
     return true;
 }
 
+// The keys of records are bytes of any writer, but JSON requires UTF-8. Replaces all bytes beyond ASCII, since only ASCII keys are read.
+std::string replaceInvalidUtf8(std::string_view text)
+{
+    constexpr unsigned char FirstBeyondAscii = 0x80;
+    std::string ascii(text);
+    std::ranges::replace_if(
+        ascii,
+        [](char c) {
+            return static_cast<unsigned char>(c) >= FirstBeyondAscii;
+        },
+        '?');
+    return ascii;
+}
+
 bool readKeyedRecord(const json &item, keyed_record &record)
 {
     if (!readOffset(item, "Offset", record.offset)) {
@@ -201,25 +218,30 @@
     return json{{"items", std::move(items)}, {"HasMore", false}, {"EndOffset", next - 1}}.dump();
 }
 
-bool decodeNewestRecords(std::string_view text, std::vector<keyed_record> &records, std::uint64_t &next, bool &more)
+bool decodeNewestRecords(std::string_view text, keyed_page &page)
 {
-    const json object = json::parse(text, nullptr, false);
-    if (!readOffset(object, "EndOffset", next)) {
+    page = {};
+    auto object = parseJson(text);
+    if (!object) {
+        object = parseJson(replaceInvalidUtf8(text));
+    }
+    if (!object || !readOffset(*object, "EndOffset", page.next)) {
         return false;
     }
-    const auto items = object.find("items");
-    if (items == object.end() || !items->is_array()) {
+    const auto items = object->find("items");
+    if (items == object->end() || !items->is_array()) {
         return false;
     }
     for (const json &item : *items) {
+        page.lastKey = readText(item, "Key").value_or(page.lastKey);
         keyed_record record;
-        if (!readKeyedRecord(item, record)) {
-            return false;
+        if (readKeyedRecord(item, record)) {
+            page.records.push_back(std::move(record));
+        } else {
+            ++page.ignored;
         }
-        records.push_back(std::move(record));
     }
-    const auto flag = object.find("HasMore");
-    more = flag != object.end() && flag->is_boolean() && flag->get<bool>();
+    page.hasMore = readFlag(*object, "HasMore").value_or(false);
     return true;
 }
 
--- a/src/platform/platform_log_codec.h
+++ b/src/platform/platform_log_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "platform/keyed_page.h"
 #include "platform/keyed_record.h"
 #include "platform/log_page.h"
 
@@ -81,13 +82,11 @@
 std::string encodeNewestRecords(const std::vector<keyed_record> &records, std::uint64_t next);
 
 /**
- * Decodes a page of the latest records of each key.
+ * Decodes a page of the latest records of each key. A record that cannot be decoded is ignored, because any writer may have left it.
  * @param text body of the response
- * @param records the records are appended here
- * @param next set to the offset of the next record of the topic
- * @param more set to whether further pages follow
- * @return false if the response is malformed
+ * @param page set to the decoded page
+ * @return false if the response as a whole is malformed
  */
-bool decodeNewestRecords(std::string_view text, std::vector<keyed_record> &records, std::uint64_t &next, bool &more);
+bool decodeNewestRecords(std::string_view text, keyed_page &page);
 
 } // namespace teaselward
--- a/src/platform/platform_route_source.cpp
+++ b/src/platform/platform_route_source.cpp
@@ -5,8 +5,9 @@
 #include "platform/platform_log_codec.h"
 #include "platform/route_codec.h"
 
+#include <array>
+#include <chrono>
 #include <utility>
-#include <vector>
 
 namespace teaselward
 {
@@ -15,12 +16,21 @@
 {
 
 constexpr std::string_view Topic = "keyed.op"; // Topic of the operators' records.
+constexpr std::chrono::milliseconds ReadTimeout{1000};
 constexpr std::string_view ConfigKey = "config"; // Key of the configuration.
 
+// Copies of the configuration stand in several partitions of a topic of their own. In an outage of some partitions of the store, a process
+// that starts then finds one of them.
+constexpr std::string_view CopyTopic = "keyed.teaselward-routes";
+constexpr std::array<std::uint32_t, 4> CopyParts = {3, 7, 11, 15};
+constexpr int MaxCopyFailures = 2; // Then the whole store is probably down, and the operators' records are to be tried again soon.
+constexpr std::chrono::milliseconds CopyTimeout{300}; // The store answers within 4 ms, or within 400 ms while it is slow.
+
 } // namespace
 
-platform_route_source::platform_route_source(http_platform_log &store, logger &log)
+platform_route_source::platform_route_source(http_platform_log &store, std::uint64_t process, logger &log)
     : m_store(store)
+    , m_process(process)
     , m_log(log)
 {
 }
@@ -44,11 +54,15 @@
 std::error_code platform_route_source::newest(route_config &found, std::uint64_t &next)
 {
     found = {};
-    std::vector<keyed_record> records;
-    if (const std::error_code error = m_store.newest(Topic, records, next)) {
+    keyed_page page;
+    if (const std::error_code error = m_store.newest(Topic, 0, ReadTimeout, page)) {
         return error;
     }
-    for (const keyed_record &record : records) {
+    next = page.next;
+    if (page.ignored > 0) {
+        m_log.write(log_part::platform, concat("Ignored malformed records. topic=", Topic, " count=", page.ignored));
+    }
+    for (const keyed_record &record : page.records) {
         applyRecord(record, found);
     }
     return {};
@@ -72,6 +86,29 @@
     return {};
 }
 
+std::error_code platform_route_source::storeCopy(const std::string &text)
+{
+    return m_store.appendKeyed(CopyTopic, CopyParts.at(m_process % CopyParts.size()), {.key = std::string(ConfigKey), .value = text, .offset = 0}, CopyTimeout);
+}
+
+std::error_code platform_route_source::newestCopy(route_config &found)
+{
+    found = {};
+    std::error_code failure;
+    int failures = 0;
+    for (auto part = CopyParts.begin(); part != CopyParts.end() && failures < MaxCopyFailures; ++part) {
+        keyed_page page;
+        if (const std::error_code error = m_store.newest(CopyTopic, *part, CopyTimeout, page)) {
+            failure = error;
+            ++failures;
+        }
+        for (const keyed_record &record : page.records) {
+            applyRecord(record, found);
+        }
+    }
+    return found.version > 0 ? std::error_code() : failure;
+}
+
 std::error_code platform_route_source::decode(const std::string &text, route_config &found) const
 {
     return decodeRoutes(text, found) ? std::error_code() : make_error_code(platform_error::badResponse);
--- a/src/platform/platform_route_source.h
+++ b/src/platform/platform_route_source.h
@@ -4,6 +4,8 @@
 #include "log/logger.h"
 #include "platform/http_platform_log.h"
 
+#include <cstdint>
+
 namespace teaselward
 {
 
@@ -14,18 +16,22 @@
     /**
      * Creates a reader.
      * @param store client of the store; it must outlive the reader
+     * @param process number of this process, which selects where it stores copies
      * @param log logger; it must outlive the reader
      */
-    platform_route_source(http_platform_log &store, logger &log);
+    platform_route_source(http_platform_log &store, std::uint64_t process, logger &log);
 
     std::error_code newest(route_config &found, std::uint64_t &next) override;
     std::error_code wait(std::uint64_t &next, std::chrono::milliseconds wait, route_config &found) override;
+    std::error_code storeCopy(const std::string &text) override;
+    std::error_code newestCopy(route_config &found) override;
     std::error_code decode(const std::string &text, route_config &found) const override;
 
 private:
     void applyRecord(const keyed_record &record, route_config &found) const;
 
     http_platform_log &m_store;
+    std::uint64_t m_process;
     logger &m_log;
 };
 
--- a/src/proc/entry_process.cpp
+++ b/src/proc/entry_process.cpp
@@ -42,7 +42,7 @@
             followConfig(platform, log);
             return;
         }
-        routeSource.emplace(platform, log);
+        routeSource.emplace(platform, self.id.value, log);
         routeFollower.emplace(*routeSource, routes, events, sharedConfig, log);
         sharedConfig.setLocalCopy([this] {
             return routeFollower->snapshot();
