--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -193,11 +193,16 @@
 // The home entry can no longer receive the results, and the caller may soon resubmit the tasks through another entry.
 void agent_core_private::stopRunsOf(const entry_id &entry)
 {
-    for (auto &[id, task] : m_running) {
+    std::vector<task_id> stopped;
+    for (const auto &[id, task] : m_running) {
         if (task.restartable && task.calls.front().from == entry) {
-            stopRun(id, task);
+            stopped.push_back(id);
         }
     }
+    std::ranges::sort(stopped); // In a defined order, so that a seed replays exactly.
+    for (const task_id &id : stopped) {
+        stopRun(id, m_running.at(id));
+    }
 }
 
 // Answers with the state of the task. A task without a record first gets a tombstone, so that a late start is refused.
--- a/src/agent/session_table.h
+++ b/src/agent/session_table.h
@@ -2,10 +2,9 @@
 
 #include "core/entry_id.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <vector>
 
 namespace teaselward
@@ -65,7 +64,7 @@
     }
 
 private:
-    absl::flat_hash_map<entry_id, std::uint64_t> m_sessions;
+    std::map<entry_id, std::uint64_t> m_sessions; ///< Ordered, so that a seed replays exactly.
     std::uint64_t m_last = 0;
 };
 
--- a/src/core/agent_id.h
+++ b/src/core/agent_id.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <utility>
 
@@ -14,6 +15,7 @@
     std::uint64_t value = 0;
 
     friend bool operator==(const agent_id &, const agent_id &) = default;
+    friend auto operator<=>(const agent_id &, const agent_id &) = default;
 
     template<typename H>
     friend H AbslHashValue(H state, const agent_id &value)
--- a/src/core/entry_id.h
+++ b/src/core/entry_id.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <utility>
 
@@ -14,6 +15,7 @@
     std::uint64_t value = 0;
 
     friend bool operator==(const entry_id &, const entry_id &) = default;
+    friend auto operator<=>(const entry_id &, const entry_id &) = default;
 
     template<typename H>
     friend H AbslHashValue(H state, const entry_id &value)
--- a/src/core/task_id.h
+++ b/src/core/task_id.h
@@ -2,6 +2,7 @@
 
 #include "core/ticket_id.h"
 
+#include <compare>
 #include <cstdint>
 #include <utility>
 
@@ -15,6 +16,7 @@
     std::uint32_t attempt = 0; ///< Number of the placement, from 1; zero for a task that may start at most once.
 
     friend bool operator==(const task_id &, const task_id &) = default;
+    friend auto operator<=>(const task_id &, const task_id &) = default;
 
     template<typename H>
     friend H AbslHashValue(H state, const task_id &value)
--- a/src/core/ticket_id.h
+++ b/src/core/ticket_id.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <utility>
 
@@ -12,6 +13,7 @@
     std::uint64_t sequence = 0; ///< Number of the ticket within that incarnation.
 
     friend bool operator==(const ticket_id &, const ticket_id &) = default;
+    friend auto operator<=>(const ticket_id &, const ticket_id &) = default;
 
     template<typename H>
     friend H AbslHashValue(H state, const ticket_id &value)
--- a/src/job/placement_table.cpp
+++ b/src/job/placement_table.cpp
@@ -1,5 +1,6 @@
 #include "job/placement_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace teaselward
@@ -44,6 +45,7 @@
     for (const auto &[id, one] : m_placements) {
         all.push_back(id);
     }
+    std::ranges::sort(all);
     return all;
 }
 
--- a/src/job/placement_table.h
+++ b/src/job/placement_table.h
@@ -5,10 +5,10 @@
 #include "job/placement.h"
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 #include <absl/container/node_hash_map.h>
 
 #include <cstddef>
+#include <set>
 #include <vector>
 
 namespace teaselward
@@ -52,7 +52,7 @@
 
 private:
     absl::node_hash_map<task_id, placement> m_placements;
-    absl::flat_hash_map<agent_id, absl::flat_hash_set<task_id>> m_byAgent;
+    absl::flat_hash_map<agent_id, std::set<task_id>> m_byAgent; ///< Ordered, so that a seed replays exactly.
 };
 
 } // namespace teaselward
--- a/src/job/quota_exchange.h
+++ b/src/job/quota_exchange.h
@@ -6,9 +6,8 @@
 #include "core/team_usage.h"
 #include "job/entry_context.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstddef>
+#include <map>
 #include <vector>
 
 namespace teaselward
@@ -56,7 +55,7 @@
     void setEntryCount(std::size_t entries);
 
     entry_context &m_context;
-    absl::flat_hash_map<entry_id, entry_info> m_peers;
+    std::map<entry_id, entry_info> m_peers; ///< Ordered, so that a seed replays exactly.
     std::size_t m_entryCount = 1; ///< Number of entries that the queue divides the quotas by.
     mono_time m_lostAt{}; ///< Time at which a peer was last lost.
     mono_time m_nextReport = mono_time::max();
--- a/src/job/recovery.h
+++ b/src/job/recovery.h
@@ -10,9 +10,8 @@
 #include "job/request_digest.h"
 #include "job/timer_queue.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -41,7 +40,7 @@
     mono_time deadline{}; ///< Time at which the recovery fails.
     timer_queue<ticket_id>::handle timer; ///< Next repetition of the fences, or the deadline.
     std::vector<request_id> waiters; ///< Requests to answer when the recovery ends.
-    absl::flat_hash_map<agent_id, fence_state> pending; ///< Agents that may still return results.
+    std::map<agent_id, fence_state> pending; ///< Agents that may still return results.
     std::vector<std::optional<std::string>> results; ///< Result of each task.
     std::size_t missing = 0; ///< Tasks without a result.
 };
--- a/src/job/ticket_recovery.h
+++ b/src/job/ticket_recovery.h
@@ -11,9 +11,8 @@
 #include "job/recovery.h"
 #include "job/timer_queue.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstddef>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -95,7 +94,7 @@
     std::vector<ticket_id> tickets() const;
 
     entry_context &m_context;
-    absl::flat_hash_map<ticket_id, std::unique_ptr<recovery>> m_recoveries;
+    std::map<ticket_id, std::unique_ptr<recovery>> m_recoveries; ///< Ordered, so that a seed replays exactly.
     recovered_jobs m_recovered;
     timer_queue<ticket_id> m_timers;
 };
