Save wake-ups and system calls of every event

Nearly every event of a decision thread moved its next due time and so woke the thread of the timer; each command woke its consumer by a write to an eventfd; each log line took two writes. Change: the timer is armed for earlier times only, a ring wakes its consumer when it stops being empty, and a line is written at once.

--- a/src/base/bounded_ring.h
+++ b/src/base/bounded_ring.h
@@ -36,8 +36,9 @@
     bounded_ring &operator=(const bounded_ring &) = delete;
 
     /**
-     * Sets a function that is called after each push and on close, for consumers that wait in the event loop of a library.
-     * Must be called before the first push.
+     * Sets a function that is called after a push into the empty ring and on close, for consumers that wait in the event loop of a
+     * library. Once woken, the consumer must pop until the ring is empty or continue by itself. Must be called before the first
+     * push.
      * @param wake function that may be called from any thread
      */
     void setWaker(std::function<void()> wake)
@@ -52,14 +53,18 @@
      */
     bool tryPush(T &&item)
     {
+        bool wasEmpty = false;
         {
             absl::MutexLock lock(&m_mutex);
             if (m_closed || m_count == m_items.size()) {
                 return false;
             }
+            wasEmpty = m_count == 0;
             append(std::move(item));
         }
-        wakeConsumer();
+        if (wasEmpty) {
+            wakeConsumer();
+        }
         return true;
     }
 
@@ -70,6 +75,7 @@
      */
     bool push(T item)
     {
+        bool wasEmpty = false;
         {
             absl::MutexLock lock(&m_mutex);
             while (!m_closed && m_count == m_items.size()) {
@@ -78,9 +84,12 @@
             if (m_closed) {
                 return false;
             }
+            wasEmpty = m_count == 0;
             append(std::move(item));
         }
-        wakeConsumer();
+        if (wasEmpty) {
+            wakeConsumer();
+        }
         return true;
     }
 
--- a/src/log/stderr_logger.cpp
+++ b/src/log/stderr_logger.cpp
@@ -1,6 +1,7 @@
 #include "log/stderr_logger.h"
 
 #include "log/counting_overflow.h"
+#include "log/fd_stream_buffer.h"
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/date_time/posix_time/posix_time_types.hpp>
@@ -16,9 +17,10 @@
 #include <boost/log/support/date_time.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <boost/smart_ptr/shared_ptr.hpp>
+#include <unistd.h>
 
 #include <array>
-#include <iostream>
+#include <ostream>
 
 namespace teaselward
 {
@@ -46,6 +48,8 @@
 {
 public:
     bool enabled = false;
+    fd_stream_buffer buffer{STDERR_FILENO};
+    std::ostream stream{&buffer};
     boost::shared_ptr<sink> output;
     boost::log::sources::logger_mt source;
 };
@@ -60,7 +64,7 @@
         return;
     }
     auto stream = boost::make_shared<backend>();
-    stream->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+    stream->add_stream(boost::shared_ptr<std::ostream>(&d->stream, boost::null_deleter()));
     stream->auto_flush(true);
     d->output = boost::make_shared<sink>(stream);
     d->output->set_formatter(expr::stream << expr::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ") << ' '
--- a/src/proc/decision_loop.h
+++ b/src/proc/decision_loop.h
@@ -19,7 +19,7 @@
  * adapters. An action whose ring is full is kept and retried. The thread never blocks on an adapter, because the adapter may
  * itself be blocked on the full event ring, and the two would deadlock.
  */
-template<typename Core, typename Event, typename Action>
+template<typename Core, typename Event, typename Action, typename Timer = one_shot_timer>
 class decision_loop
 {
 public:
@@ -33,7 +33,7 @@
      * @param timer timer that pushes a timer event into the ring
      * @param deliver passes an action to its adapter
      */
-    decision_loop(Core &core, bounded_ring<Event> &events, one_shot_timer &timer, deliver_function deliver)
+    decision_loop(Core &core, bounded_ring<Event> &events, Timer &timer, deliver_function deliver)
         : m_core(core)
         , m_events(events)
         , m_timer(timer)
@@ -46,7 +46,7 @@
     {
         std::vector<Action> actions;
         while (true) {
-            const bool needsRetry = !m_undelivered.empty() || m_armed != m_core.nextDue();
+            const bool needsRetry = !m_undelivered.empty() || m_core.nextDue() < m_armed;
             auto event = needsRetry ? m_events.popUntil(mono_clock::now() + RetryDelay) : m_events.pop();
             if (!event && m_events.isFinished()) {
                 return;
@@ -72,13 +72,15 @@
         }
     }
 
+    // Arms the timer for an earlier time only. Most events move the next due time, usually to a later one, and each change would wake the
+    // thread of the timer; an early timer event costs less.
     void armTimer()
     {
         if (m_armed <= mono_clock::now()) {
             m_armed = mono_time::max(); // The timer has fired; the same time point, if still due, must be armed again.
         }
         const mono_time due = m_core.nextDue();
-        if (due != m_armed && m_timer.arm(due)) {
+        if (due < m_armed && m_timer.arm(due)) {
             m_armed = due;
         }
     }
@@ -88,7 +90,7 @@
 
     Core &m_core;
     bounded_ring<Event> &m_events;
-    one_shot_timer &m_timer;
+    Timer &m_timer;
     deliver_function m_deliver;
     std::deque<Action> m_undelivered;
     mono_time m_armed = mono_time::max();
--- a/tests/base/bounded_ring_test.cpp
+++ b/tests/base/bounded_ring_test.cpp
@@ -53,6 +53,27 @@
     BOOST_TEST(expected == count);
 }
 
+// Guards against a wake-up for each item, which costs a system call, and against a consumer that is not woken again once it has emptied the
+// ring.
+BOOST_AUTO_TEST_CASE(wakesTheConsumerOncePerBatch)
+{
+    int wakes = 0;
+    bounded_ring<int> ring(4);
+    ring.setWaker([&wakes] {
+        ++wakes;
+    });
+    ring.push(1);
+    ring.tryPush(2);
+    ring.push(3);
+    BOOST_TEST(wakes == 1);
+    while (ring.tryPop()) {
+    }
+    ring.tryPush(4);
+    BOOST_TEST(wakes == 2);
+    ring.close();
+    BOOST_TEST(wakes == 3);
+}
+
 // Guards against a wait that does not end in time when no item arrives.
 BOOST_AUTO_TEST_CASE(popUntilReturnsNothingAfterItsTimeout)
 {
