Refuse jobs early when they do not start

Load pattern: bursts at a desk with three entries, where some jobs run seven times as long as usual (overload_simulation_test/refusesEarlyInBursts). Cause: a kind of long jobs was refused whenever one of its jobs was queued, since three times its mean run time exceeded the deadline; jobs waited for their whole slack, half of their objective, before they were refused; a job that an agent returned after that time waited until its deadline; and runs that could not end before their deadline held slots for all that time.

--- a/src/job/job_manager.cpp
+++ b/src/job/job_manager.cpp
@@ -282,21 +282,29 @@
     }
 }
 
-// Refuses the jobs that have not started and could no longer meet their objective if they started now.
+// Refuses the jobs that have not started within their start timeout.
 void job_manager::refuseUnstarted()
 {
     while (const auto sequence = m_startTimers.takeDue(m_context.now)) {
         job_record &job = *m_table.findRunning(*sequence);
         job.startTimer.reset();
-        if (job.started == 0 && !job.hasRun) {
-            job_answer answer;
-            answer.state = job_state::failed;
-            answer.why = reason::overloaded;
-            answer.notRun = true;
-            answer.retryAfter = job.startTimeout;
-            settle(job, answer);
-        }
+        refuseIfOverdue(job);
+    }
+}
+
+bool job_manager::refuseIfOverdue(job_record &job)
+{
+    const bool isOverdue = job.startTimeout.count() > 0 && !job.startTimer;
+    if (!isOverdue || job.started > 0 || job.hasRun) {
+        return false;
     }
+    job_answer answer;
+    answer.state = job_state::failed;
+    answer.why = reason::overloaded;
+    answer.notRun = true;
+    answer.retryAfter = job.startTimeout;
+    settle(job, answer);
+    return true;
 }
 
 mono_time job_manager::nextDue() const
--- a/src/job/job_manager.h
+++ b/src/job/job_manager.h
@@ -83,6 +83,14 @@
      */
     void fail(job_record &job, reason why);
 
+    /**
+     * Refuses a job whose start timeout has passed and none of whose tasks can have been started. To be called when an agent
+     * has returned a task: without it the job would stay queued until its deadline.
+     * @param job the job, which is destroyed if it is refused
+     * @return whether it was refused
+     */
+    bool refuseIfOverdue(job_record &job);
+
     /** Fails the jobs whose deadline has passed, refuses those that cannot meet their objective, and drops expired answers. */
     void runTimers();
 
--- a/src/job/job_record.h
+++ b/src/job/job_record.h
@@ -22,7 +22,7 @@
     request_digest digest{}; ///< Digest of its submission.
     mono_time deadline{};
     timer_queue<std::uint64_t>::handle deadlineTimer;
-    std::chrono::milliseconds startTimeout{}; ///< Time after the submission within which the job must start to meet its objective; zero if it has none.
+    std::chrono::milliseconds startTimeout{}; ///< The job is refused if it has not started this long after the submission; zero if its kind has no objective.
     std::optional<timer_queue<std::uint64_t>::handle> startTimer;
     std::vector<task_record> tasks;
     std::size_t unfinished = 0; ///< Tasks without a result.
--- a/src/job/returned_tasks.cpp
+++ b/src/job/returned_tasks.cpp
@@ -45,6 +45,10 @@
         return;
     }
     record.state = task_state::delayed;
+    if (m_jobs.refuseIfOverdue(job)) {
+        m_context.queue.finish(task, outcome, m_context.now);
+        return;
+    }
     if (record.placements == 1) {
         requeue(std::move(task));
         return;
--- a/src/share/queued_job.h
+++ b/src/share/queued_job.h
@@ -17,6 +17,7 @@
     std::size_t kind = 0; ///< Index of the kind.
     std::size_t team = 0; ///< Index of the team within the kind.
     std::multimap<mono_time, ticket_id>::iterator expiry; ///< Position in the list of deadlines.
+    mono_time queuedAt{}; ///< Time from which the job has been in the queue.
     mono_time due{}; ///< Sort key of the jobs of a team; jobs with fewer tasks are due earlier.
     bool hasObjective = false; ///< The due time results from the objective of the kind.
     std::deque<queued_task> tasks;
--- a/src/share/task_queue.cpp
+++ b/src/share/task_queue.cpp
@@ -38,7 +38,7 @@
     }
     d->admitted = job.source.id;
     d->admittedTasks = tasks;
-    d->admittedSlack = result.startTimeout;
+    d->admittedSlack = result.slack;
     kind.teams[team].admitted += tasks;
     kind.addInProgress(team, static_cast<std::int64_t>(tasks));
     d->quotas.add(job.team, static_cast<std::int64_t>(tasks));
@@ -69,6 +69,7 @@
 
 std::optional<queued_task> task_queue::pop(const std::function<bool(std::string_view)> &placeable, mono_time now)
 {
+    d->latest = now;
     for (const auto &[tag, kindNumber] : d->order.active()) {
         kind_queue &kind = d->kinds[kindNumber];
         if (!placeable(kind.name)) {
--- a/src/share/task_queue_private.cpp
+++ b/src/share/task_queue_private.cpp
@@ -1,5 +1,7 @@
 #include "share/task_queue_private.h"
 
+#include "share/deadline_forecast.h"
+#include "share/queue_time_limit.h"
 #include "share/response_slack.h"
 
 #include <algorithm>
@@ -93,26 +95,40 @@
     if (!fits) {
         return {reason::queueFull, retryTime(tasks * mean / usable)};
     }
-    const auto slack = responseSlack(kind.rule, expectedRun(kind, job));
+    const milliseconds run = expectedRun(kind, job);
+    const auto slack = responseSlack(kind.rule, run);
+    const auto limit = queueTimeLimit(kind.rule, run);
     if (slots > 0 && kind.queued > 0 && kind.runTime.isReliable()) {
         const double weight = kind.order.weight(team);
         const double ahead = std::min<double>(kind.queued, queue.queued * std::max(1.0, kind.activeWeight / weight));
         const double wait = (ahead + tasks) * mean / usable;
-        if (slack && wait > std::chrono::duration<double>(*slack).count()) {
-            return {reason::deadlineUnreachable, retryTime(wait)};
-        }
-        const double excess = WaitMargin * wait + RunMargin * mean - std::chrono::duration<double>(job.timeLimit).count();
-        if (excess > 0) {
-            return {reason::deadlineUnreachable, retryTime(excess)};
+        const double excess = slack ? wait - std::chrono::duration<double>(*slack).count()
+                                    : WaitMargin * wait + RunMargin * mean - std::chrono::duration<double>(job.timeLimit).count();
+        // The estimate counts the slots that the kind has used; in a burst it may get many more. Only a queue that has stopped
+        // moving shows that it does not. Jobs with an objective are refused soon if they do not start.
+        const bool isMoving = limit && 2 * headWait(kind, now) < *limit;
+        if (excess > 0 && !isMoving) {
+            return {reason::deadlineUnreachable, retryTime(slack ? wait : excess)};
         }
     }
+    if (limit && size > 0 && kind.runTime.isReliable() && missesDeadline(std::chrono::duration<double>(mean), job.estimate, job.timeLimit)) {
+        return {reason::deadlineUnreachable, {}};
+    }
     if (!quotas.admits(job.team, tasks, now)) {
         return {reason::quotaExceeded, QuotaRetryDelay};
     }
     if (!kind.breaker.admits(now)) {
         return {reason::kindFailing, std::max(MinRetryDelay, kind.breaker.retryAfter(now))};
     }
-    return {reason::none, {}, slack};
+    return {reason::none, {}, slack, limit};
+}
+
+mono_clock::duration task_queue_private::headWait(const kind_queue &kind, mono_time now)
+{
+    if (kind.queued == 0) {
+        return {};
+    }
+    return now - kind.teams[kind.order.active().begin()->second].jobs.front().queuedAt;
 }
 
 // Declared run times are inaccurate, and so is the mean of a kind with different jobs; their average is more accurate than
@@ -144,7 +160,7 @@
     while (before != list.begin() && std::prev(before)->due > due) {
         --before;
     }
-    const auto added = addJob(task, kindNumber, teamNumber, before, due);
+    const auto added = addJob(task, kindNumber, teamNumber, before, due, now);
     added->hasObjective = isNew && admittedSlack.has_value();
     return added;
 }
@@ -158,16 +174,17 @@
     const std::size_t kindNumber = kindIndex(task.kind);
     const std::size_t teamNumber = kinds[kindNumber].teamIndex(task.team, teamWeight(task.team));
     auto &list = kinds[kindNumber].teams[teamNumber].jobs;
-    return addJob(task, kindNumber, teamNumber, list.begin(), list.empty() ? mono_time{} : list.front().due);
+    return addJob(task, kindNumber, teamNumber, list.begin(), list.empty() ? mono_time{} : list.front().due, latest);
 }
 
 task_queue_private::job_position
-task_queue_private::addJob(const queued_task &task, std::size_t kindNumber, std::size_t teamNumber, job_position before, mono_time due)
+task_queue_private::addJob(const queued_task &task, std::size_t kindNumber, std::size_t teamNumber, job_position before, mono_time due, mono_time now)
 {
     const auto added = kinds[kindNumber].teams[teamNumber].jobs.insert(before, queued_job{});
     added->ticket = task.id.ticket;
     added->kind = kindNumber;
     added->team = teamNumber;
+    added->queuedAt = now;
     added->due = due;
     added->expiry = expiries.emplace(task.deadline, task.id.ticket);
     jobs.emplace(task.id.ticket, added);
--- a/src/share/task_queue_private.h
+++ b/src/share/task_queue_private.h
@@ -47,6 +47,9 @@
     /** @return expected run time of the longest task of a job */
     static std::chrono::milliseconds expectedRun(const kind_queue &kind, const job_request &job);
 
+    /** @return time that the job of a kind that is to start next has been queued; zero if none is queued */
+    static mono_clock::duration headWait(const kind_queue &kind, mono_time now);
+
     /** Finds the queued job of a task, or adds it to its team by due time. */
     job_position findOrAddJob(const queued_task &task, mono_time now);
 
@@ -54,7 +57,7 @@
     job_position findOrAddFront(const queued_task &task);
 
     /** Adds the queued job of a task before a position of its team. */
-    job_position addJob(const queued_task &task, std::size_t kindNumber, std::size_t teamNumber, job_position before, mono_time due);
+    job_position addJob(const queued_task &task, std::size_t kindNumber, std::size_t teamNumber, job_position before, mono_time due, mono_time now);
 
     /** Updates the counts after tasks were queued or removed. */
     void countQueued(const queued_job &job, std::int64_t change);
@@ -77,6 +80,7 @@
     std::size_t admittedTasks = 0;
     std::optional<std::chrono::milliseconds> admittedSlack; ///< Time that the job may wait, if its kind has an objective.
     std::size_t entries = 1;
+    mono_time latest{}; ///< Time of the last call of pop().
 };
 
 } // namespace teaselward::detail
--- a/tests/job/overload_simulation.cpp
+++ b/tests/job/overload_simulation.cpp
@@ -22,6 +22,8 @@
 constexpr double Stretch = 1.6;
 constexpr double LateFactor = 3; // Answers that take longer than this multiple of the objective are useless.
 constexpr double Spread = 0.4; // Log-normal spread of task counts, run times and declared run times.
+constexpr double LongFactor = 7; // Run times of unusually long jobs, as a multiple of the mean of their kind.
+constexpr milliseconds StopDelay{10}; // Time that the stop of a run takes.
 constexpr double TaskSpread = 0.15; // Log-normal spread of the run times within a job.
 
 std::uint64_t agentId(std::size_t agent)
@@ -43,7 +45,7 @@
         route one;
         one.kind = kind.name;
         one.service = "service";
-        one.timeLimit = std::chrono::seconds(10);
+        one.timeLimit = kind.timeLimit;
         one.target = Target;
         one.stretch = Stretch;
         one.priority = kind.priority;
@@ -60,6 +62,7 @@
         settings.capacity = {.cpuMillis = isLarge ? 48000U : 32000U, .memoryMb = 131072, .gpus = 0};
         m_agents[agent].core = std::make_unique<agent_core>(settings, m_log);
         m_agents[agent].slowdown = isLarge ? 1.3 : 1;
+        m_agents[agent].freeMillis = settings.capacity.cpuMillis;
     }
     for (std::size_t entry = 0; entry < entries; ++entry) {
         entry_core_settings settings;
@@ -86,11 +89,16 @@
     m_agents.at(endpoint).slowdown = factor;
 }
 
+void overload_simulation::setLoad(double factor)
+{
+    m_load = factor;
+}
+
 void overload_simulation::run(milliseconds length, double burst, const std::string &kind)
 {
     const mono_time end = m_now + length;
     for (const simulated_kind &one : m_kinds) {
-        std::exponential_distribution<double> gap(one.jobsPerSecond * (one.name == kind ? burst : 1));
+        std::exponential_distribution<double> gap(m_load * one.jobsPerSecond * (one.name == kind ? burst : 1));
         mono_time at = m_now;
         while (at < end) {
             at += std::chrono::duration_cast<mono_clock::duration>(std::chrono::duration<double>(gap(m_random)));
@@ -132,8 +140,9 @@
 void overload_simulation::submit(const simulated_kind &kind)
 {
     const auto tasks = static_cast<std::size_t>(std::max(1.0, std::round(lognormal(kind.tasks, Spread))));
-    const double work = lognormal(std::chrono::duration<double>(kind.work).count(), Spread);
-    open_job open{.kind = kind.name, .arrival = m_now, .objective = {}, .work = {}};
+    const bool isLong = kind.longFraction > 0 && std::bernoulli_distribution(kind.longFraction)(m_random);
+    const double work = lognormal((isLong ? LongFactor : 1) * std::chrono::duration<double>(kind.work).count(), Spread);
+    open_job open{.kind = kind.name, .arrival = m_now, .objective = {}, .cpuMillis = 0, .work = {}};
     for (std::size_t task = 0; task < tasks; ++task) {
         open.work.push_back(std::chrono::duration_cast<microseconds>(std::chrono::duration<double>(lognormal(work, TaskSpread))));
     }
@@ -143,6 +152,8 @@
     job.key = std::to_string(++m_lastRequest);
     job.payloads.assign(tasks, "work");
     job.needs = {.cpuMillis = static_cast<std::uint32_t>(std::min(4700.0, lognormal(3100, 0.2))), .memoryMb = 64, .gpus = 0};
+    job.timeLimit = kind.timeLimit;
+    open.cpuMillis = job.needs.cpuMillis;
     job.estimate = milliseconds(static_cast<std::int64_t>(std::max(1.0, 1000 * lognormal(work, Spread))));
     const request_id request{.origin = request_origin::caller, .number = m_lastRequest};
     ++m_outcomes[kind.name].submitted;
@@ -212,6 +223,10 @@
         schedule(LinkDelay, [this, self, demand = *demand] {
             toAgent(demand.agent.value - FirstAgentId, demand_received{.from = self, .queued = demand.queued});
         });
+    } else if (const auto *stop = std::get_if<stop_task>(&action); stop != nullptr) {
+        schedule(LinkDelay, [this, self, stop = *stop] {
+            toAgent(stop.agent.value - FirstAgentId, stop_received{.from = self, .id = stop.id});
+        });
     } else if (const auto *reply = std::get_if<reply_job>(&action); reply != nullptr) {
         answered(reply->answer, reply->request.number);
     }
@@ -224,11 +239,15 @@
         const auto open = m_open.find(m_requests.at(call->key));
         const microseconds work = open == m_open.end() ? microseconds(1000) : open->second.work.at(call->id.index);
         const auto runTime = std::chrono::duration_cast<microseconds>(work * m_agents[agent].slowdown);
-        schedule(runTime, [this, agent, id = call->id, runTime] {
-            task_outcome done;
-            done.verdict = task_verdict::succeeded;
-            done.runTime = runTime;
-            toAgent(agent, call_finished{.id = id, .outcome = done});
+        const std::uint32_t used = open == m_open.end() ? 0 : open->second.cpuMillis;
+        m_agents[agent].freeMillis -= used;
+        m_runs[call->id] = {.agent = agent, .kind = call->kind, .cpuMillis = used, .start = m_now};
+        schedule(runTime, [this, id = call->id] {
+            endRun(id, task_verdict::succeeded);
+        });
+    } else if (const auto *stop = std::get_if<stop_call>(&action); stop != nullptr) {
+        schedule(StopDelay, [this, id = stop->id] {
+            endRun(id, task_verdict::interrupted);
         });
     } else if (const auto *answer = std::get_if<answer_start>(&action); answer != nullptr) {
         const std::size_t entry = m_callers.at(answer->call.value);
@@ -242,6 +261,36 @@
     }
 }
 
+// Ends a run that has not ended yet and reports it to its agent.
+void overload_simulation::endRun(const task_id &id, task_verdict verdict)
+{
+    const auto found = m_runs.find(id);
+    if (found == m_runs.end()) {
+        return;
+    }
+    const running_run run = found->second;
+    m_runs.erase(found);
+    m_agents[run.agent].freeMillis += run.cpuMillis;
+    task_outcome outcome;
+    outcome.verdict = verdict;
+    outcome.runTime = std::chrono::duration_cast<microseconds>(m_now - run.start);
+    if (verdict != task_verdict::succeeded) {
+        outcome.why = reason::cancelled;
+        m_outcomes[run.kind].wasted += std::chrono::duration<double>(outcome.runTime).count() * run.cpuMillis / 1000;
+    }
+    toAgent(run.agent, call_finished{.id = id, .outcome = outcome});
+}
+
+// Checks whether the free processors of the endpoints hold all tasks of a job.
+bool overload_simulation::hasRoom(const open_job &job) const
+{
+    std::size_t places = 0;
+    for (const agent_process &agent : m_agents) {
+        places += agent.freeMillis / job.cpuMillis;
+    }
+    return places >= job.work.size();
+}
+
 void overload_simulation::answered(const job_answer &answer, std::uint64_t request)
 {
     const auto found = m_open.find(request);
@@ -250,8 +299,12 @@
     }
     kind_outcome &outcome = m_outcomes[found->second.kind];
     const auto took = m_now - found->second.arrival;
-    if (answer.state != job_state::complete) {
+    if (answer.state != job_state::complete && !answer.notRun) {
+        ++outcome.failed;
+    } else if (answer.state != job_state::complete) {
         ++outcome.refused;
+        outcome.refusedWithRoom += hasRoom(found->second) ? 1 : 0;
+        outcome.refusedSlowly += 4 * took > found->second.objective ? 1 : 0;
     } else if (took <= found->second.objective) {
         ++outcome.inTime;
     } else if (took <= LateFactor * found->second.objective) {
--- a/tests/job/overload_simulation.h
+++ b/tests/job/overload_simulation.h
@@ -2,6 +2,8 @@
 
 #include "agent/agent_core.h"
 #include "core/route_config.h"
+#include "core/task_id.h"
+#include "core/task_verdict.h"
 #include "job/entry_core.h"
 #include "log/null_logger.h"
 
@@ -25,6 +27,8 @@
     double jobsPerSecond = 0;
     double tasks = 1; ///< Mean number of tasks of a job.
     std::chrono::milliseconds work{}; ///< Mean run time of a task at an endpoint of normal speed.
+    std::chrono::milliseconds timeLimit{10000}; ///< Time after which the caller leaves.
+    double longFraction = 0; ///< Fraction of the jobs whose tasks run seven times as long.
 };
 
 /** Outcomes of the jobs of one kind. */
@@ -32,7 +36,11 @@
     std::size_t submitted = 0;
     std::size_t inTime = 0; ///< Answered within the objective.
     std::size_t late = 0; ///< Answered within three times the objective.
-    std::size_t refused = 0;
+    std::size_t refused = 0; ///< Answered "not run".
+    std::size_t failed = 0;
+    double wasted = 0; ///< Processor seconds of runs that were stopped.
+    std::size_t refusedWithRoom = 0; ///< Refused while all its tasks would have fitted into free processors of the endpoints.
+    std::size_t refusedSlowly = 0; ///< Refused after more than a quarter of the objective.
 
     /** @return fraction of the jobs that were answered within their objective; 1 without jobs */
     double fractionInTime() const
@@ -66,6 +74,12 @@
      */
     void setSlowdown(std::size_t endpoint, double factor);
 
+    /**
+     * Changes the arrival rates of all kinds.
+     * @param factor factor of the rates of jobs that arrive from now on
+     */
+    void setLoad(double factor);
+
     /**
      * Runs the simulation with arriving jobs.
      * @param length virtual time
@@ -85,15 +99,25 @@
     struct agent_process {
         std::unique_ptr<agent_core> core;
         double slowdown = 1;
+        std::uint32_t freeMillis = 0; ///< Processors that no task uses, in thousandths.
         mono_time wake = mono_time::max();
     };
     struct open_job {
         std::string kind;
         mono_time arrival{};
         std::chrono::microseconds objective{};
+        std::uint32_t cpuMillis = 0; ///< Processors that each task needs, in thousandths.
         std::vector<std::chrono::microseconds> work; ///< Run time of each task.
     };
 
+    struct running_run {
+        std::size_t agent = 0;
+        std::string kind;
+        std::uint32_t cpuMillis = 0;
+        mono_time start{};
+    };
+
+    void endRun(const task_id &id, task_verdict verdict);
     void schedule(std::chrono::microseconds delay, std::function<void()> callback);
     void runUntil(mono_time end);
     double lognormal(double mean, double spread);
@@ -105,9 +129,11 @@
     void perform(std::size_t entry, const entry_action &action);
     void perform(std::size_t agent, const agent_action &action);
     void answered(const job_answer &answer, std::uint64_t request);
+    bool hasRoom(const open_job &job) const;
 
     std::vector<simulated_kind> m_kinds;
     std::mt19937 m_random;
+    double m_load = 1;
     null_logger m_log;
     mono_time m_now{std::chrono::hours(1)};
     std::multimap<mono_time, std::function<void()>> m_due;
@@ -116,6 +142,7 @@
     std::map<std::uint64_t, open_job> m_open; ///< By request.
     std::map<std::string, std::uint64_t> m_requests; ///< By client key.
     std::map<std::uint64_t, std::size_t> m_callers; ///< Entry of each start in progress, by call.
+    std::map<task_id, running_run> m_runs; ///< Runs in progress.
     std::map<std::string, kind_outcome> m_outcomes;
     std::uint64_t m_lastRequest = 0;
     std::uint64_t m_lastCall = 0;
--- a/tests/job/overload_simulation_test.cpp
+++ b/tests/job/overload_simulation_test.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <cstdlib>
+#include <numbers>
 
 using namespace teaselward;
 using namespace std::chrono_literals;
@@ -30,12 +32,41 @@
     };
 }
 
+// Workload of a desk whose refusals must come early: the load is half of the capacity on average and exceeds it at the peaks.
+std::vector<simulated_kind> deskKinds()
+{
+    return {
+        {.name = "check", .priority = 0, .jobsPerSecond = 33.3, .tasks = 8, .work = 51ms, .timeLimit = 1500ms, .longFraction = 0.03},
+        {.name = "recount", .priority = 2, .jobsPerSecond = 6.05, .tasks = 4, .work = 760ms, .timeLimit = 1500ms, .longFraction = 0.03},
+        {.name = "confirm", .priority = 1, .jobsPerSecond = 96.7, .tasks = 2, .work = 170ms, .timeLimit = 1500ms, .longFraction = 0.03},
+    };
+}
+
+// Replays a day of that desk: a wave of 17 s, all kinds at 1.2 times their rate from 0.5 s to 4.5 s, and recounts at 1.9 times theirs from 6 s
+// to 9.4 s.
+std::map<std::string, kind_outcome> replayDesk(std::uint32_t seed)
+{
+    constexpr double Period = 17;
+    constexpr double Swing = 0.55;
+    constexpr double Phase = 0.18;
+    constexpr std::chrono::milliseconds Step{100};
+    overload_simulation simulation(deskKinds(), 11, seed);
+    for (std::chrono::milliseconds at{}; at < 17s; at += Step) {
+        const double turn = std::chrono::duration<double>(at).count() / Period + Phase;
+        const bool isBurst = at >= 500ms && at < 4500ms;
+        const bool isRecount = at >= 6s && at < 9400ms;
+        simulation.setLoad((1 + Swing * std::sin(2 * std::numbers::pi * turn)) * (isBurst ? 1.2 : 1));
+        simulation.run(Step, isRecount ? 1.9 : 1, "recount");
+    }
+    return simulation.takeOutcomes();
+}
+
 // Prints the outcomes; visible with --log_level=message.
 void report(const std::string &title, const std::map<std::string, kind_outcome> &outcomes)
 {
     for (const auto &[kind, one] : outcomes) {
         BOOST_TEST_MESSAGE(title << " " << kind << ": submitted " << one.submitted << " in time " << one.inTime << " late " << one.late << " refused "
-                                 << one.refused);
+                                 << one.refused << " with room " << one.refusedWithRoom << " slowly " << one.refusedSlowly << " failed " << one.failed << " wasted " << one.wasted);
     }
 }
 
@@ -119,4 +150,27 @@
     }
 }
 
+// Replays bursts at a desk with three entries. Guards against refusals that come so late that the caller has no time for another attempt,
+// and against kinds of long jobs that are refused or given up while short ones are served.
+BOOST_AUTO_TEST_CASE(refusesEarlyInBursts)
+{
+    std::map<std::string, kind_outcome> sums;
+    for (std::uint32_t seed = 1; seed <= 6; ++seed) {
+        const auto outcomes = replayDesk(seed);
+        report("desk", outcomes);
+        for (const auto &[kind, one] : outcomes) {
+            sums[kind].submitted += one.submitted;
+            sums[kind].inTime += one.inTime;
+            sums[kind].refusedSlowly += one.refusedSlowly;
+        }
+    }
+    for (const auto &[kind, one] : sums) {
+        BOOST_TEST_CONTEXT(kind)
+        {
+            BOOST_TEST(one.refusedSlowly <= one.submitted / 50);
+            BOOST_TEST(one.fractionInTime() >= 0.65);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/job/restartable_jobs_test.cpp
+++ b/tests/job/restartable_jobs_test.cpp
@@ -134,6 +134,32 @@
     BOOST_TEST((stops[1].id == starts[1].order.id));
 }
 
+// Guards against a job that an agent returns after its time to start has passed, and that would then wait until its deadline.
+BOOST_AUTO_TEST_CASE(refusesAJobThatIsReturnedTooLate)
+{
+    joinWorker(1, 1);
+    submitKeyed("0011", 2);
+    const auto start = get<start_task>();
+    advance(1s);
+    BOOST_TEST(count<reply_job>() == 0U);
+    finish(start, outcome(task_verdict::notStarted, {}, reason::overloaded), 0);
+    BOOST_TEST((get<reply_job>().answer.why == reason::overloaded));
+    BOOST_TEST(get<reply_job>().answer.notRun);
+}
+
+// Guards against a job that is refused although one of its tasks has run.
+BOOST_AUTO_TEST_CASE(keepsAJobThatHasRunWhenATaskIsReturned)
+{
+    joinWorker(1, 2);
+    submitKeyed("0011", 2);
+    const auto starts = all<start_task>();
+    BOOST_REQUIRE(starts.size() == 2U);
+    advance(1s);
+    finish(starts[0], outcome(task_verdict::interrupted), 0);
+    finish(starts[1], outcome(task_verdict::notStarted, {}, reason::overloaded), 0);
+    BOOST_TEST(count<reply_job>() == 0U);
+}
+
 // Simulates an overload: one slot, and jobs of 100 ms that arrive every 50 ms. Guards against an admission that ignores the objective:
 // the queue would grow until every answer is late, whereas early refusals keep the accepted jobs in time.
 BOOST_AUTO_TEST_CASE(servesInTimeWhatItAdmitsInAnOverload)
--- a/tests/share/task_queue_test.cpp
+++ b/tests/share/task_queue_test.cpp
@@ -170,6 +170,23 @@
     BOOST_TEST((submit("high", "a", 1, seconds(500)).why == reason::none));
 }
 
+// Guards against a kind of long jobs that is refused whenever one of its jobs is queued, although slots may become free at once. Only a
+// queue that does not move shows that they do not.
+BOOST_AUTO_TEST_CASE(jobsWithAnObjectiveAreAdmittedWhileTheQueueMoves)
+{
+    rules->kinds["low"].stretch = 1.6;
+    rules->kinds["low"].target = milliseconds(60);
+    queue.setRules(rules);
+    submit("low", "a", 40);
+    for (int i = 0; i < 40; ++i) {
+        finish(*pop(), task_verdict::succeeded, milliseconds(800));
+    }
+    BOOST_TEST((submit("low", "a", 4, seconds(2)).why == reason::none));
+    BOOST_TEST((submit("low", "a", 4, seconds(2)).why == reason::none));
+    now += milliseconds(200);
+    BOOST_TEST((submit("low", "a", 4, seconds(2)).why == reason::deadlineUnreachable));
+}
+
 // Guards against submissions of kinds and teams without a rule.
 BOOST_AUTO_TEST_CASE(unknownNamesAreRefused)
 {
