Keep sessions with a subset of the entries

Cause: every agent held a session with every entry, 5,600 sessions with a heartbeat each 200 ms on the large deployment, and entries sent each other all addresses each second. Entries report their addresses only when they change. Shown by: sessionsStayFlatAsEntriesGrow (the mesh grows), replacesUnreachableEntriesForAsLongAsNeeded, closesSessionsThatAreNotNeeded.

--- a/src/member/entry_directory.cpp
+++ b/src/member/entry_directory.cpp
@@ -4,8 +4,12 @@
 #include "member/retry_budget.h"
 
 #include <absl/container/flat_hash_set.h>
+#include <absl/hash/hash.h>
 
+#include <algorithm>
+#include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -19,6 +23,7 @@
     waiting,
     connecting,
     connected,
+    retiring, // Connected, but returned by takeSurplus().
 };
 
 // One known address.
@@ -27,6 +32,9 @@
     address_state state = address_state::waiting;
     mono_time due{}; // Time of the next attempt.
     mono_time lastReached{}; // Last time the address was connected; at first the time it was added.
+    std::uint64_t rank = 0; // Position in the order in which the addresses are selected; higher ones come first.
+    std::optional<mono_time> failingSince; // Time since which the address has not been reached, although it was tried.
+    std::optional<mono_time> unneededSince; // Time since which a connected address has not been selected.
     entry_id entry; // Incarnation that last answered; zero if none.
     backoff delay;
 };
@@ -34,6 +42,8 @@
 class entry_directory_private
 {
 public:
+    using record_map = std::map<std::string, address_record, std::less<>>;
+
     entry_directory_private(const entry_directory_settings &directorySettings, mono_time now)
         : settings(directorySettings)
         , budget(directorySettings.retryBurst, directorySettings.retryInterval, now)
@@ -43,7 +53,7 @@
 
     entry_directory_settings settings;
     retry_budget budget;
-    std::map<std::string, address_record, std::less<>> records;
+    record_map records;
     absl::flat_hash_set<std::string> excluded;
     std::mt19937_64 random;
 
@@ -51,7 +61,37 @@
     address_record &add(const std::string &address, mono_time now)
     {
         const backoff delay(settings.firstDelay, settings.reconnectLimit);
-        return records.emplace(address, address_record{false, address_state::waiting, now, now, {}, delay}).first->second;
+        const std::uint64_t rank = absl::HashOf(settings.seed, address);
+        return records.emplace(address, address_record{false, address_state::waiting, now, now, rank, std::nullopt, std::nullopt, {}, delay}).first->second;
+    }
+
+    // Returns whether an address counts toward the session target: it is connected, not tried yet, or failing for a short time only.
+    bool isLive(const address_record &record, mono_time now) const
+    {
+        return record.state != address_state::retiring && (!record.failingSince || now - *record.failingSince < settings.replaceAfter);
+    }
+
+    // Returns the addresses to which connections are wanted: the first in rank, until the session target is reached by live ones.
+    std::vector<record_map::value_type *> wanted(mono_time now)
+    {
+        std::vector<record_map::value_type *> found;
+        for (auto &item : records) {
+            found.push_back(&item);
+        }
+        if (settings.sessionTarget == 0) {
+            return found;
+        }
+        std::ranges::sort(found, std::greater(), [](const record_map::value_type *item) {
+            return item->second.rank;
+        });
+        std::size_t live = 0;
+        std::size_t count = 0;
+        while (count < found.size() && live < settings.sessionTarget) {
+            live += isLive(found[count]->second, now) ? 1 : 0;
+            ++count;
+        }
+        found.resize(count);
+        return found;
     }
 
     // Checks whether the incarnation that an address last reached is connected under another address. A second session with it
@@ -133,7 +173,8 @@
 {
     d->dropUnreachable(now);
     std::vector<std::string> due;
-    for (auto &[address, record] : d->records) {
+    for (auto *item : d->wanted(now)) {
+        auto &[address, record] = *item;
         if (record.state != detail::address_state::waiting || record.due > now || d->isAlias(address, record)) {
             continue;
         }
@@ -146,12 +187,37 @@
     return due;
 }
 
+std::vector<std::string> entry_directory::takeSurplus(mono_time now)
+{
+    std::vector<std::string> surplus;
+    if (d->settings.sessionTarget == 0) {
+        return surplus;
+    }
+    const auto wanted = d->wanted(now);
+    for (auto &item : d->records) {
+        auto &[address, record] = item;
+        if (record.state != detail::address_state::connected || std::ranges::find(wanted, &item) != wanted.end()) {
+            record.unneededSince.reset();
+            continue;
+        }
+        if (!record.unneededSince) {
+            record.unneededSince = now;
+        }
+        if (now - *record.unneededSince >= d->settings.retireAfter) {
+            record.state = detail::address_state::retiring;
+            surplus.push_back(address);
+        }
+    }
+    return surplus;
+}
+
 void entry_directory::setConnected(const std::string &address, const entry_id &entry)
 {
     const auto found = d->records.find(address);
     if (found != d->records.end()) {
         found->second.state = detail::address_state::connected;
         found->second.entry = entry;
+        found->second.failingSince.reset();
         found->second.delay.reset();
     }
 }
@@ -166,6 +232,10 @@
     if (record.state == detail::address_state::connected) {
         record.lastReached = now;
     }
+    record.unneededSince.reset();
+    if (record.state != detail::address_state::retiring && !record.failingSince) {
+        record.failingSince = now;
+    }
     record.state = detail::address_state::waiting;
     record.due = now + record.delay.next(d->random);
 }
--- a/src/member/entry_directory.h
+++ b/src/member/entry_directory.h
@@ -19,6 +19,10 @@
 /**
  * Known addresses of entries, and the times of the next connection attempts. Configured addresses are kept forever, learned
  * ones until they have been unreachable for a while. It does no I/O and reads no clock.
+ *
+ * With a session target the directory selects a subset of the addresses by rendezvous hashing, so that the sessions of a process
+ * do not grow with the number of entries, and each entry is in the subsets of about as many processes as the others. An address
+ * that stays unreachable is replaced by the next in rank; once it is back, the connection of its replacement is surplus.
  */
 class entry_directory
 {
@@ -70,6 +74,13 @@
      */
     std::vector<std::string> takeDue(mono_time now);
 
+    /**
+     * Returns the connected addresses that have not been needed for a while; each is returned once. New work should be kept
+     * away from them, and they should be closed when no work is in progress.
+     * @param now current time
+     */
+    std::vector<std::string> takeSurplus(mono_time now);
+
     /**
      * Records that a connection was established.
      * @param address IP:PORT
--- a/src/proc/agent_component_settings.cpp
+++ b/src/proc/agent_component_settings.cpp
@@ -43,6 +43,7 @@
     result.lease = settings.lease;
     result.heartbeat = settings.heartbeat;
     result.reconnectLimit = settings.reconnectLimit;
+    result.sessionTarget = settings.sessions;
     return result;
 }
 
--- a/src/rpc/agent_loop.cpp
+++ b/src/rpc/agent_loop.cpp
@@ -43,6 +43,7 @@
     void announceLeaving(agent_action &&action);
     void dropAction(agent_action &&action);
 
+    void closeSurplus(mono_time now);
     void handle(agent_action &&action);
     void open(const std::string &address, kj::Own<kj::AsyncIoStream> stream);
     kj::Promise<void> tick();
@@ -83,7 +84,7 @@
     , m_self(settings.self)
     , m_directory(
           entry_directory_settings{
-              .reconnectLimit = settings.reconnectLimit, .forgetAfter = settings.forgetAfter, .capacity = MaxKnownEntries, .seed = settings.self.id.value},
+              .reconnectLimit = settings.reconnectLimit, .forgetAfter = settings.forgetAfter, .capacity = MaxKnownEntries, .seed = settings.self.id.value, .sessionTarget = settings.sessionTarget},
           mono_clock::now())
     , m_links(loop.provider->getTimer(), settings.lease, settings.heartbeat, traffic, log)
     , m_context{settings, m_self, events, log, m_links, m_directory, m_sessions, m_starts, m_revokes, m_fences}
@@ -121,12 +122,35 @@
         const mono_time now = mono_clock::now();
         m_links.check(now);
         m_dialer.dial(now);
+        closeSurplus(now);
     });
     return m_io.provider->getTimer().afterDelay(m_tick.count() * kj::MILLISECONDS).then([this] {
         return tick();
     });
 }
 
+// Retires the sessions that the directory no longer needs, and closes those that were retired earlier and are idle. The links are
+// collected first, because closing one changes the table of sessions.
+void agent_loop_private::closeSurplus(mono_time now)
+{
+    std::vector<std::uint64_t> idle;
+    for (const auto &[id, session] : m_sessions) {
+        if (session->isRetired(now)) {
+            idle.push_back(session->link());
+        }
+    }
+    for (const std::uint64_t link : idle) {
+        m_links.close(link, "the session is not needed");
+    }
+    for (const std::string &address : m_directory.takeSurplus(now)) {
+        for (const auto &[id, session] : m_sessions) {
+            if (session->address() == address) {
+                session->retire(now);
+            }
+        }
+    }
+}
+
 // Starts a session on a new connection and registers there.
 void agent_loop_private::open(const std::string &address, kj::Own<kj::AsyncIoStream> stream)
 {
--- a/src/rpc/agent_port.cpp
+++ b/src/rpc/agent_port.cpp
@@ -54,11 +54,14 @@
     return current->entry()->id;
 }
 
-// Refuses a call above the session's limit; the entry then treats it as unanswered.
-void agent_port::beginCall()
-{
-    KJ_REQUIRE(m_calls < MaxSessionCalls, "too many calls in progress");
-    ++m_calls;
+// Counts a call; the caller decreases the count when the call ends. Refuses a call above the session's limit, which the entry then
+// treats as unanswered.
+std::shared_ptr<std::size_t> agent_port::beginCall()
+{
+    std::shared_ptr<std::size_t> calls = session()->calls();
+    KJ_REQUIRE(*calls < MaxSessionCalls, "too many calls in progress");
+    ++*calls;
+    return calls;
 }
 
 // A call can overtake the answer to the registration within the event loop, but the core must get entry_joined before any other
@@ -90,7 +93,7 @@
         const entry_id entry = caller();
         start_order order = decode(call.getParams().getOrder());
         call.releaseParams();
-        beginCall();
+        auto calls = beginCall();
         auto pending = m_context.pendingStarts.add();
         m_context.events.push(start_received{call_id{pending.number}, entry, std::move(order)});
         return pending.answer
@@ -100,8 +103,8 @@
                 encode(answer.outcome, results.initOutcome());
                 results.setCredits(answer.credits);
             })
-            .attach(kj::defer([this] {
-                --m_calls;
+            .attach(kj::defer([calls = std::move(calls)] {
+                --*calls;
             }));
     });
 }
@@ -112,7 +115,7 @@
     return afterRegistration([this, call]() mutable -> kj::Promise<void> {
         const entry_id entry = caller();
         const task_id id = decode(call.getParams().getId());
-        beginCall();
+        auto calls = beginCall();
         auto pending = m_context.pendingRevokes.add();
         m_context.events.push(revoke_received{call_id{pending.number}, entry, id});
         return pending.answer
@@ -120,8 +123,8 @@
                 limitBody(answer.held.outcome);
                 encode(answer.held, call.getResults().initHeld());
             })
-            .attach(kj::defer([this] {
-                --m_calls;
+            .attach(kj::defer([calls = std::move(calls)] {
+                --*calls;
             }));
     });
 }
@@ -132,7 +135,7 @@
     return afterRegistration([this, call]() mutable -> kj::Promise<void> {
         const entry_id entry = caller();
         const ticket_id ticket = decode(call.getParams().getTicket());
-        beginCall();
+        auto calls = beginCall();
         auto pending = m_context.pendingFences.add();
         m_context.events.push(fence_received{call_id{pending.number}, entry, ticket});
         return pending.answer
@@ -140,8 +143,8 @@
                 requireBodyLimit(answer.held);
                 encodeHeld(answer.held, call.getResults().initHeld(static_cast<unsigned>(answer.held.size())));
             })
-            .attach(kj::defer([this] {
-                --m_calls;
+            .attach(kj::defer([calls = std::move(calls)] {
+                --*calls;
             }));
     });
 }
--- a/src/rpc/agent_port.h
+++ b/src/rpc/agent_port.h
@@ -32,13 +32,12 @@
 private:
     std::shared_ptr<entry_session> session() const;
     entry_id caller() const;
-    void beginCall();
+    std::shared_ptr<std::size_t> beginCall();
     template<typename F>
     kj::Promise<void> afterRegistration(F &&handle);
 
     agent_rpc_context &m_context;
     std::weak_ptr<entry_session> m_session;
-    std::size_t m_calls = 0; // Calls in progress.
 };
 
 } // namespace teaselward
--- a/src/rpc/entry_port.cpp
+++ b/src/rpc/entry_port.cpp
@@ -104,7 +104,7 @@
     auto results = call.getResults();
     const snapshot_source *source = m_context.settings.snapshots;
     results.setConfigOffset(source != nullptr ? source->offset() : 0);
-    const std::vector<std::string> entries = m_context.directory.connected();
+    const std::vector<std::string> entries = session->takeNewEntries();
     encodeTexts(entries, results.initEntries(static_cast<unsigned>(entries.size())));
     return kj::READY_NOW;
 }
--- a/src/rpc/entry_session.cpp
+++ b/src/rpc/entry_session.cpp
@@ -6,11 +6,20 @@
 #include "rpc/snapshot_source.h"
 #include "rpc/welcome_codec.h"
 
+#include <chrono>
 #include <utility>
 
 namespace teaselward
 {
 
+namespace
+{
+
+// Starts that were sent before the announcement arrive within this time; it exceeds the lease of a session on the users' platform.
+constexpr std::chrono::milliseconds RetireDelay{1000};
+
+} // namespace
+
 entry_session::entry_session(agent_rpc_context &context, std::string address, std::uint64_t link)
     : m_context(context)
     , m_address(std::move(address))
@@ -90,6 +99,30 @@
     return m_link;
 }
 
+const std::string &entry_session::address() const
+{
+    return m_address;
+}
+
+const std::shared_ptr<std::size_t> &entry_session::calls() const
+{
+    return m_calls;
+}
+
+// The entry treats the agent like one that drains: it places nothing new, and waits for the tasks in progress.
+void entry_session::retire(mono_time now)
+{
+    if (!m_retiredAt && m_entry) {
+        m_retiredAt = now;
+        sendLeaving();
+    }
+}
+
+bool entry_session::isRetired(mono_time now) const
+{
+    return m_retiredAt && *m_calls == 0 && now - *m_retiredAt > RetireDelay;
+}
+
 void entry_session::sendCredits(std::int32_t delta)
 {
     auto request = m_remote.creditsRequest();
--- a/src/rpc/entry_session.h
+++ b/src/rpc/entry_session.h
@@ -7,7 +7,9 @@
 
 #include <kj/async.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -43,6 +45,24 @@
     /** @return number of the connection */
     std::uint64_t link() const;
 
+    /** @return address that was connected */
+    const std::string &address() const;
+
+    /** @return number of calls of the entry that are in progress; it outlives the session as long as a call needs it */
+    const std::shared_ptr<std::size_t> &calls() const;
+
+    /**
+     * Tells the entry to send no new tasks because the session is to be closed.
+     * @param now current time
+     */
+    void retire(mono_time now);
+
+    /**
+     * Returns whether the session can be closed: it is retired, no call is in progress, and none can arrive any more.
+     * @param now current time
+     */
+    bool isRetired(mono_time now) const;
+
     /**
      * Sends a change of the entry's credits.
      * @param delta credits granted; negative if credits are recalled
@@ -70,6 +90,8 @@
     std::uint64_t m_link;
     std::optional<entry_info> m_entry;
     bool m_isFetching = false;
+    std::optional<mono_time> m_retiredAt;
+    std::shared_ptr<std::size_t> m_calls = std::make_shared<std::size_t>(0);
     wire::AgentSession::Client m_remote;
     kj::Own<kj::PromiseFulfiller<void>> m_registered;
     kj::ForkedPromise<void> m_whenRegistered;
--- a/src/rpc/peer_session.cpp
+++ b/src/rpc/peer_session.cpp
@@ -147,7 +147,7 @@
     const snapshot_source *source = m_context.settings.snapshots;
     request.setConfigOffset(source != nullptr ? source->offset() : 0);
     encodeUsage(usage, request.initUsage(static_cast<unsigned>(usage.size())));
-    const std::vector<std::string> entries = m_context.directory.connected();
+    const std::vector<std::string> entries = takeNewEntries();
     encodeTexts(entries, request.initEntries(static_cast<unsigned>(entries.size())));
     m_calls.add(request.send()
                     .then([this](auto &&response) {
@@ -161,6 +161,16 @@
                     })));
 }
 
+std::vector<std::string> peer_session::takeNewEntries()
+{
+    std::vector<std::string> entries = m_context.directory.connected();
+    if (entries == m_reportedEntries) {
+        return {};
+    }
+    m_reportedEntries = entries;
+    return entries;
+}
+
 void peer_session::fetchSnapshotIfNewer(std::uint64_t offset)
 {
     snapshot_source *source = m_context.settings.snapshots;
--- a/src/rpc/peer_session.h
+++ b/src/rpc/peer_session.h
@@ -68,6 +68,12 @@
      */
     void exchange(const std::vector<team_usage> &usage);
 
+    /**
+     * Returns the connected entries if they have changed since the last call, so that reports between many entries stay short.
+     * @return their addresses; empty if the other entry has been told of them
+     */
+    std::vector<std::string> takeNewEntries();
+
     /**
      * Fetches the other entry's copy of the configuration if it is newer than the local ones.
      * @param offset offset in the platform log up to which the copy is complete
@@ -91,6 +97,7 @@
     std::optional<entry_info> m_peer;
     wire::EntryPort::Client m_port;
     bool m_isExchanging = false;
+    std::vector<std::string> m_reportedEntries; // Addresses that the other entry was last told.
     bool m_isFetching = false;
     std::uint64_t m_lastCall = 0;
     std::map<std::uint64_t, request_id> m_pendingForwards; // Requests that have no answer yet.
--- a/src/settings/agent_settings.h
+++ b/src/settings/agent_settings.h
@@ -23,6 +23,7 @@
     std::chrono::milliseconds lease = std::chrono::seconds(2);
     std::chrono::milliseconds heartbeat = std::chrono::milliseconds(500);
     std::chrono::milliseconds reconnectLimit = std::chrono::seconds(2);
+    std::uint32_t sessions = 0; ///< Entries to keep sessions with; zero for all known entries.
     std::chrono::milliseconds retention = std::chrono::minutes(15);
     std::chrono::milliseconds drainBound = std::chrono::seconds(30);
     std::string platformControl; ///< Address that receives the heartbeats of the platform's worker; empty for an endpoint with the protocol of this project.
--- a/src/settings/settings_tables.cpp
+++ b/src/settings/settings_tables.cpp
@@ -58,6 +58,7 @@
     agent_row{"peers.lease", format::duration, &agent_settings::lease, false, 200, Minute, "a session without a message for this time is lost"},
     agent_row{"peers.heartbeat", format::duration, &agent_settings::heartbeat, false, 50, Minute, "sent after this time without another message"},
     agent_row{"peers.reconnect_limit", format::duration, &agent_settings::reconnectLimit, false, 50, Minute, "longest delay between attempts"},
+    agent_row{"peers.sessions", format::number, &agent_settings::sessions, false, 0, 1024, "entries to keep sessions with; 0 for all"},
     agent_row{"ledger.retention", format::duration, &agent_settings::retention, false, 15 * Minute, 24 * Hour, "time that a record of a start is kept"},
     agent_row{"platform.control", format::address, &agent_settings::platformControl, false, 0, 0, "address for the heartbeats of the platform's worker"},
     agent_row{"platform.service", format::text, &agent_settings::platformService, false, 0, 0, "service of the platform's worker"},
--- a/tests/member/entry_directory_test.cpp
+++ b/tests/member/entry_directory_test.cpp
@@ -2,7 +2,12 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
 
 using namespace teaselward;
 using namespace std::chrono_literals;
@@ -27,6 +32,43 @@
     return attempts;
 }
 
+std::string addressOf(std::size_t entry)
+{
+    return "10.1." + std::to_string(entry / 100) + "." + std::to_string(entry % 100) + ":7000";
+}
+
+entry_id idOf(const std::string &address)
+{
+    return entry_id{std::hash<std::string>()(address)};
+}
+
+// Directory of one agent that keeps a limited number of sessions.
+entry_directory subset(std::size_t agent, std::size_t target)
+{
+    entry_directory_settings settings;
+    settings.seed = agent;
+    settings.sessionTarget = target;
+    settings.retryBurst = 1000;
+    settings.reconnectLimit = 200ms;
+    return entry_directory(settings, Start);
+}
+
+void learnAll(entry_directory &directory, std::size_t entries)
+{
+    for (std::size_t entry = 0; entry < entries; ++entry) {
+        directory.learn(addressOf(entry), Start);
+    }
+}
+
+// Lets every attempt succeed and returns the connected addresses.
+std::vector<std::string> connectAll(entry_directory &directory, mono_time now)
+{
+    for (const std::string &address : directory.takeDue(now)) {
+        directory.setConnected(address, idOf(address));
+    }
+    return directory.connected();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(entry_directory_test)
@@ -143,4 +185,71 @@
     BOOST_TEST(directory.takeDue(Start + 1s).size() == 1U);
 }
 
+// Guards against sessions that grow with the number of entries: each agent keeps the same number of them, and each entry gets about the same
+// number of agents.
+BOOST_AUTO_TEST_CASE(sessionsStayFlatAsEntriesGrow)
+{
+    constexpr std::size_t Target = 12;
+    for (const std::size_t entries : {30U, 100U, 250U}) {
+        const std::size_t agents = entries * 5;
+        std::map<std::string, std::size_t> sessions;
+        for (std::size_t agent = 1; agent <= agents; ++agent) {
+            entry_directory directory = subset(agent, Target);
+            learnAll(directory, entries);
+            const auto connected = connectAll(directory, Start);
+            BOOST_TEST(connected.size() == Target);
+            for (const std::string &address : connected) {
+                ++sessions[address];
+            }
+        }
+        BOOST_TEST(sessions.size() == entries);
+        for (const auto &[address, count] : sessions) {
+            BOOST_TEST(count >= 5 * Target / 2, address);
+            BOOST_TEST(count <= 5 * Target * 2, address);
+        }
+        entry_directory mesh = subset(1, 0);
+        learnAll(mesh, entries);
+        BOOST_TEST(connectAll(mesh, Start).size() == entries);
+    }
+}
+
+// Guards against an agent that loses its entries one after the other and keeps too few, and against replacements that stay connected once
+// the entries are back.
+BOOST_AUTO_TEST_CASE(replacesUnreachableEntriesForAsLongAsNeeded)
+{
+    entry_directory directory = subset(7, 12);
+    learnAll(directory, 30);
+    const auto first = connectAll(directory, Start);
+    for (std::size_t index = 0; index < 8; ++index) {
+        directory.setLost(first[index], Start + 1s);
+    }
+    mono_time now = Start + 1s;
+    for (; now < Start + 10s; now += 100ms) {
+        for (const std::string &address : directory.takeDue(now)) {
+            const bool isLost = std::find(first.begin(), first.begin() + 8, address) != first.begin() + 8;
+            if (isLost) {
+                directory.setLost(address, now);
+            } else {
+                directory.setConnected(address, idOf(address));
+            }
+        }
+    }
+    BOOST_TEST(directory.connected().size() == 12U);
+    BOOST_TEST(directory.takeSurplus(now).empty());
+    std::vector<std::string> surplus;
+    for (; now < Start + 30s; now += 100ms) {
+        connectAll(directory, now);
+        for (const std::string &address : directory.takeSurplus(now)) {
+            surplus.push_back(address);
+            directory.setLost(address, now);
+        }
+    }
+    BOOST_TEST(surplus.size() == 8U);
+    auto last = directory.connected();
+    auto wanted = first;
+    std::ranges::sort(last);
+    std::ranges::sort(wanted);
+    BOOST_TEST(last == wanted, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/rpc/peer_test.cpp
+++ b/tests/rpc/peer_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <set>
 #include <utility>
@@ -64,6 +65,32 @@
     BOOST_TEST(waitForEntries(late, 3));
 }
 
+// Guards against an agent that stays connected to all entries that it has ever known, and against one that drops all of them.
+BOOST_AUTO_TEST_CASE(closesSessionsThatAreNotNeeded)
+{
+    test_entry first(11);
+    std::vector<std::unique_ptr<test_entry>> others;
+    for (std::uint64_t id = 12; id <= 16; ++id) {
+        others.push_back(std::make_unique<test_entry>(id, std::vector<std::string>{first.rpc.address()}));
+    }
+    BOOST_REQUIRE(waitForPeers(first, 5));
+    // An agent keeps its first session if that entry is the first in rank; of several agents, most do not.
+    std::vector<std::unique_ptr<test_agent>> agents;
+    for (std::uint64_t id = 31; id <= 36; ++id) {
+        agent_rpc_settings settings = test_agent::makeSettings(id, {first.rpc.address()});
+        settings.sessionTarget = 1;
+        agents.push_back(std::make_unique<test_agent>(settings));
+    }
+    agents.front()->events.collect(9s);
+    std::size_t closed = 0;
+    for (const auto &agent : agents) {
+        agent->events.collect(0ms);
+        BOOST_TEST(agent->events.count<entry_joined>() == agent->events.count<entry_lost>() + 1);
+        closed += agent->events.count<entry_lost>();
+    }
+    BOOST_TEST(closed > 0U);
+}
+
 // Guards against a peer that joins twice when two entries know each other's address and both connect.
 BOOST_AUTO_TEST_CASE(joinsAPeerOnceAlthoughBothConnect)
 {
