--- a/src/job/admission_decision.h
+++ b/src/job/admission_decision.h
@@ -11,7 +11,8 @@
 /** Decision on a new job. */
 struct admission_decision {
     std::optional<job_answer> refused; ///< Answer to the caller if the job is refused.
-    std::optional<std::chrono::milliseconds> startTimeout; ///< An accepted job that has not started after this time is refused; empty if its kind has no objective.
+    std::optional<std::chrono::milliseconds>
+        startTimeout; ///< An accepted job that has not started after this time is refused; empty if its kind has no objective.
 };
 
 } // namespace teaselward
--- a/src/platform/heartbeat_codec.cpp
+++ b/src/platform/heartbeat_codec.cpp
@@ -74,7 +74,8 @@
     found.address = *address;
     found.failureDomain = *zone;
     found.slots = static_cast<std::uint32_t>(*slots);
-    found.capacity = {.cpuMillis = static_cast<std::uint32_t>(*cpu), .memoryMb = static_cast<std::uint32_t>(*memory), .gpus = static_cast<std::uint32_t>(*gpus)};
+    found.capacity
+        = {.cpuMillis = static_cast<std::uint32_t>(*cpu), .memoryMb = static_cast<std::uint32_t>(*memory), .gpus = static_cast<std::uint32_t>(*gpus)};
     found.isDraining = *state == "draining";
     found.sequence = *sequence;
     return found;
--- a/src/platform/http_platform_log.cpp
+++ b/src/platform/http_platform_log.cpp
@@ -132,8 +132,7 @@
 } // namespace
 
 // Appends one record.
-std::error_code
-http_platform_log_private::append(const std::string &path, std::string_view body, std::chrono::milliseconds timeout, std::uint64_t &offset)
+std::error_code http_platform_log_private::append(const std::string &path, std::string_view body, std::chrono::milliseconds timeout, std::uint64_t &offset)
 {
     // Suppresses the 'Expect' header of libcurl, which would cost a round trip for large bodies.
     curl_slist *headers = curl_slist_append(nullptr, "Expect:");
@@ -182,8 +181,7 @@
     return d->append(detail::topicPath(detail::AppendPath, stream), body, timeout, offset);
 }
 
-std::error_code
-http_platform_log::appendKeyed(std::string_view topic, std::uint32_t part, const keyed_record &record, std::chrono::milliseconds timeout)
+std::error_code http_platform_log::appendKeyed(std::string_view topic, std::uint32_t part, const keyed_record &record, std::chrono::milliseconds timeout)
 {
     std::uint64_t offset = 0;
     return d->append(detail::topicPath(detail::AppendPath, topic, part), encodeKeyedRecord(record), timeout, offset);
--- a/src/rpc/agent_loop.cpp
+++ b/src/rpc/agent_loop.cpp
@@ -82,10 +82,12 @@
     : m_io(loop)
     , m_tick(tickInterval(settings.lease, settings.heartbeat))
     , m_self(settings.self)
-    , m_directory(
-          entry_directory_settings{
-              .reconnectLimit = settings.reconnectLimit, .forgetAfter = settings.forgetAfter, .capacity = MaxKnownEntries, .seed = settings.self.id.value, .sessionTarget = settings.sessionTarget},
-          mono_clock::now())
+    , m_directory(entry_directory_settings{.reconnectLimit = settings.reconnectLimit,
+                                           .forgetAfter = settings.forgetAfter,
+                                           .capacity = MaxKnownEntries,
+                                           .seed = settings.self.id.value,
+                                           .sessionTarget = settings.sessionTarget},
+                  mono_clock::now())
     , m_links(loop.provider->getTimer(), settings.lease, settings.heartbeat, traffic, log)
     , m_context{settings, m_self, events, log, m_links, m_directory, m_sessions, m_starts, m_revokes, m_fences}
     , m_dialer(
--- a/tests/job/overload_simulation_test.cpp
+++ b/tests/job/overload_simulation_test.cpp
@@ -66,7 +66,8 @@
 {
     for (const auto &[kind, one] : outcomes) {
         BOOST_TEST_MESSAGE(title << " " << kind << ": submitted " << one.submitted << " in time " << one.inTime << " late " << one.late << " refused "
-                                 << one.refused << " with room " << one.refusedWithRoom << " slowly " << one.refusedSlowly << " failed " << one.failed << " wasted " << one.wasted);
+                                 << one.refused << " with room " << one.refusedWithRoom << " slowly " << one.refusedSlowly << " failed " << one.failed
+                                 << " wasted " << one.wasted);
     }
 }
 
--- a/tests/log/fd_stream_buffer_test.cpp
+++ b/tests/log/fd_stream_buffer_test.cpp
@@ -46,7 +46,8 @@
     const packet_pair pair;
     fd_stream_buffer buffer(pair.descriptors[0]);
     std::ostream stream(&buffer);
-    stream << "place: " << "Placed a task." << '\n';
+    stream << "place: "
+           << "Placed a task." << '\n';
     BOOST_TEST(pair.receive().empty());
     stream.flush();
     BOOST_TEST(pair.receive() == "place: Placed a task.\n");
--- a/tests/platform/platform_input_test.cpp
+++ b/tests/platform/platform_input_test.cpp
@@ -32,7 +32,20 @@
 };
 
 constexpr std::array<std::string_view, 14> Inserts = {
-    "18446744073709551615", "-1", "1e308", "1e999", "4294967296", "null", "[[[[[[[[", "{\"a\":", "\"", "\xff\xfe", "\\u0000", "true", "]", "}",
+    "18446744073709551615",
+    "-1",
+    "1e308",
+    "1e999",
+    "4294967296",
+    "null",
+    "[[[[[[[[",
+    "{\"a\":",
+    "\"",
+    "\xff\xfe",
+    "\\u0000",
+    "true",
+    "]",
+    "}",
 };
 
 std::size_t below(random_engine &random, std::size_t bound)
