Read copies of the routes early after a start

Change: the first reads of a process wait 250 ms and 80 ms only. Shown by: givesUpTheFirstReadEarly.

--- a/src/platform/platform_log_codec.cpp
+++ b/src/platform/platform_log_codec.cpp
@@ -94,12 +94,12 @@
 // The keys of records are bytes of any writer, but JSON requires UTF-8. Replaces all bytes beyond ASCII, since only ASCII keys are read.
 std::string replaceInvalidUtf8(std::string_view text)
 {
-    constexpr unsigned char FirstBeyondAscii = 0x80;
+    constexpr unsigned char firstBeyondAscii = 0x80;
     std::string ascii(text);
     std::ranges::replace_if(
         ascii,
         [](char c) {
-            return static_cast<unsigned char>(c) >= FirstBeyondAscii;
+            return static_cast<unsigned char>(c) >= firstBeyondAscii;
         },
         '?');
     return ascii;
--- a/src/platform/platform_route_source.cpp
+++ b/src/platform/platform_route_source.cpp
@@ -17,6 +17,11 @@
 
 constexpr std::string_view Topic = "keyed.op"; // Topic of the operators' records.
 constexpr std::chrono::milliseconds ReadTimeout{1000};
+
+// A process that has just started turns all requests away until it knows the routes, so its first reads wait only for a store that is
+// neither slow nor silent.
+constexpr std::chrono::milliseconds FirstReadTimeout{250};
+constexpr std::chrono::milliseconds FirstCopyTimeout{80};
 constexpr std::string_view ConfigKey = "config"; // Key of the configuration.
 
 // Copies of the configuration stand in several partitions of a topic of their own. In an outage of some partitions of the store, a process
@@ -55,7 +60,8 @@
 {
     found = {};
     keyed_page page;
-    if (const std::error_code error = m_store.newest(Topic, 0, ReadTimeout, page)) {
+    const auto timeout = std::exchange(m_hasRead, true) ? ReadTimeout : FirstReadTimeout;
+    if (const std::error_code error = m_store.newest(Topic, 0, timeout, page)) {
         return error;
     }
     next = page.next;
@@ -95,10 +101,12 @@
 {
     found = {};
     std::error_code failure;
+    const bool isFirst = !std::exchange(m_hasReadCopies, true);
+    const auto timeout = isFirst ? FirstCopyTimeout : CopyTimeout;
     int failures = 0;
-    for (auto part = CopyParts.begin(); part != CopyParts.end() && failures < MaxCopyFailures; ++part) {
+    for (auto part = CopyParts.begin(); part != CopyParts.end() && (isFirst || failures < MaxCopyFailures); ++part) {
         keyed_page page;
-        if (const std::error_code error = m_store.newest(CopyTopic, *part, CopyTimeout, page)) {
+        if (const std::error_code error = m_store.newest(CopyTopic, *part, timeout, page)) {
             failure = error;
             ++failures;
         }
--- a/src/platform/platform_route_source.h
+++ b/src/platform/platform_route_source.h
@@ -32,6 +32,8 @@
 
     http_platform_log &m_store;
     std::uint64_t m_process;
+    bool m_hasRead = false; ///< Set once the first reads have ended, successful or not.
+    bool m_hasReadCopies = false;
     logger &m_log;
 };
 
--- a/tests/config/route_follower_test.cpp
+++ b/tests/config/route_follower_test.cpp
@@ -159,4 +159,18 @@
     BOOST_TEST(source.newestCopy(found));
 }
 
+// Guards against a process that waits for a silent store although a copy of the routes could be read.
+BOOST_AUTO_TEST_CASE(givesUpTheFirstReadEarly)
+{
+    log_server server;
+    null_logger log;
+    http_platform_log client({.url = server.url()});
+    platform_route_source source(client, 1, log);
+    server.setFaults({.isDown = false, .delay = 600ms});
+    route_config found;
+    std::uint64_t next = 0;
+    BOOST_TEST(source.newest(found, next));
+    BOOST_TEST(!source.newest(found, next)); // A store that is only slow is read with the usual timeout.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
