--- a/src/share/queue_time_limit.cpp
+++ b/src/share/queue_time_limit.cpp
@@ -11,7 +11,7 @@
 {
 
 // Fraction of the objective after which a job that has not started is refused. The caller keeps most of its time for another attempt.
-constexpr double QueueFraction = 0.15;
+constexpr double QueueFraction = 0.1;
 
 // Credits for a free slot arrive within this time over any link of a region.
 constexpr std::chrono::milliseconds MinQueueTime{20};
