--- a/tests/job/overload_simulation_test.cpp
+++ b/tests/job/overload_simulation_test.cpp
@@ -46,17 +46,17 @@
 // to 9.4 s.
 std::map<std::string, kind_outcome> replayDesk(std::uint32_t seed)
 {
-    constexpr double Period = 17;
-    constexpr double Swing = 0.55;
-    constexpr double Phase = 0.18;
-    constexpr std::chrono::milliseconds Step{100};
+    constexpr double period = 17;
+    constexpr double swing = 0.55;
+    constexpr double phase = 0.18;
+    constexpr std::chrono::milliseconds step{100};
     overload_simulation simulation(deskKinds(), 11, seed);
-    for (std::chrono::milliseconds at{}; at < 17s; at += Step) {
-        const double turn = std::chrono::duration<double>(at).count() / Period + Phase;
+    for (std::chrono::milliseconds at{}; at < 17s; at += step) {
+        const double turn = std::chrono::duration<double>(at).count() / period + phase;
         const bool isBurst = at >= 500ms && at < 4500ms;
         const bool isRecount = at >= 6s && at < 9400ms;
-        simulation.setLoad((1 + Swing * std::sin(2 * std::numbers::pi * turn)) * (isBurst ? 1.2 : 1));
-        simulation.run(Step, isRecount ? 1.9 : 1, "recount");
+        simulation.setLoad((1 + swing * std::sin(2 * std::numbers::pi * turn)) * (isBurst ? 1.2 : 1));
+        simulation.run(step, isRecount ? 1.9 : 1, "recount");
     }
     return simulation.takeOutcomes();
 }
--- a/tests/member/entry_directory_test.cpp
+++ b/tests/member/entry_directory_test.cpp
@@ -189,23 +189,23 @@
 // number of agents.
 BOOST_AUTO_TEST_CASE(sessionsStayFlatAsEntriesGrow)
 {
-    constexpr std::size_t Target = 12;
+    constexpr std::size_t target = 12;
     for (const std::size_t entries : {30U, 100U, 250U}) {
         const std::size_t agents = entries * 5;
         std::map<std::string, std::size_t> sessions;
         for (std::size_t agent = 1; agent <= agents; ++agent) {
-            entry_directory directory = subset(agent, Target);
+            entry_directory directory = subset(agent, target);
             learnAll(directory, entries);
             const auto connected = connectAll(directory, Start);
-            BOOST_TEST(connected.size() == Target);
+            BOOST_TEST(connected.size() == target);
             for (const std::string &address : connected) {
                 ++sessions[address];
             }
         }
         BOOST_TEST(sessions.size() == entries);
         for (const auto &[address, count] : sessions) {
-            BOOST_TEST(count >= 5 * Target / 2, address);
-            BOOST_TEST(count <= 5 * Target * 2, address);
+            BOOST_TEST(count >= 5 * target / 2, address);
+            BOOST_TEST(count <= 5 * target * 2, address);
         }
         entry_directory mesh = subset(1, 0);
         learnAll(mesh, entries);
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -100,12 +100,12 @@
 // Guards against a deeply nested text that exhausts the memory or the stack of a small process.
 BOOST_AUTO_TEST_CASE(refusesDeepNesting)
 {
-    constexpr std::size_t Depth = 60000;
-    const std::string deep = std::string(Depth, '[') + std::string(Depth, ']');
+    constexpr std::size_t depth = 60000;
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
     std::string text = heartbeat().dump();
     text.insert(text.size() - 1, ",\"Extra\":" + deep);
     BOOST_TEST(!decodeHeartbeat("i-1", text).has_value());
-    BOOST_TEST(!parseJson(std::string(Depth, '{')).has_value());
+    BOOST_TEST(!parseJson(std::string(depth, '{')).has_value());
     route_config config;
     BOOST_TEST(!decodeRoutes("{\"Version\":9,\"Routes\":" + deep + "}", config));
     list_runs_result lists;
