--- a/src/place/equal_credit_policy.h
+++ b/src/place/equal_credit_policy.h
@@ -11,6 +11,7 @@
 public:
     std::int32_t target(const credit_account &entry, const credit_totals &totals) const override;
     bool rebalancesOnChange() const override;
+    bool grantsToWaiting() const override;
 };
 
 } // namespace teaselward
