--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -131,7 +131,6 @@
         refuse(reason::noEndpoint, UnusedCredit);
     } else if (fits(event.order) ? m_credits.take(event.from) : m_credits.spend(event.from)) {
         run(event.call, event.from, event.order);
-        grant(m_credits.replenish(event.from, m_now), nullptr);
     } else if (m_credits.hold(event.from)) {
         m_held.add({.call = event.call, .from = event.from, .order = event.order, .heldSince = m_now});
     } else {
--- a/src/place/credit_account.h
+++ b/src/place/credit_account.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "base/clock.h"
-
 #include <cstdint>
 
 namespace teaselward
@@ -13,23 +11,12 @@
     std::uint32_t running = 0;
     std::uint32_t held = 0; ///< Starts held at the agent until a slot is free.
     bool connected = false;
-    std::uint32_t demand = 0; ///< Tasks that were queued at the entry when it last reported them.
-    mono_time demandEnd{}; ///< The report is outdated from this time on.
 
     /** @return whether the entry has neither a credit nor a task here, so that the agent has no reason to contact it */
     bool isStarved() const
     {
         return granted <= 0 && running == 0 && held == 0;
     }
-
-    /**
-     * Returns whether the entry has queued tasks and no credit for them.
-     * @param now current time
-     */
-    bool isWaiting(mono_time now) const
-    {
-        return connected && granted <= 0 && demand > 0 && now < demandEnd;
-    }
 };
 
 } // namespace teaselward
--- a/src/place/credit_allocator.cpp
+++ b/src/place/credit_allocator.cpp
@@ -93,29 +93,6 @@
         }
     }
 
-    // Checks whether credits may be sent to entries that wait for a slot.
-    bool canGrantToWaiting() const
-    {
-        return policy->grantsToWaiting() && totals.free() > 0;
-    }
-
-    // Grants credits to the waiting entry with the fewest tasks here, so that a slot is offered to one entry besides the one that freed it.
-    void adjustWaiting(const entry_id &entry, mono_time now, std::vector<credit_grant> &grants)
-    {
-        if (!canGrantToWaiting()) {
-            return;
-        }
-        member *chosen = nullptr;
-        for (member &item : members) {
-            if (item.account.isWaiting(now) && !(item.entry == entry) && (chosen == nullptr || item.account.running < chosen->account.running)) {
-                chosen = &item;
-            }
-        }
-        if (chosen != nullptr) {
-            adjust(chosen->entry, chosen->account, grants);
-        }
-    }
-
     // Adjusts the credits of all other entries if the policy rebalances on a change.
     void adjustOthers(const entry_id &entry, std::vector<credit_grant> &grants)
     {
@@ -169,26 +146,11 @@
     return grants;
 }
 
-std::vector<credit_grant> credit_allocator::setDemand(const entry_id &entry, std::uint32_t queued, mono_time now)
-{
-    std::vector<credit_grant> grants;
-    credit_account *account = d->find(entry);
-    if (account == nullptr) {
-        return grants;
-    }
-    account->demand = queued;
-    account->demandEnd = now + DemandLifetime;
-    if (queued > 0 && (account->isStarved() || (account->isWaiting(now) && d->canGrantToWaiting()))) {
-        d->adjust(entry, *account, grants);
-    }
-    return grants;
-}
-
-std::vector<credit_grant> credit_allocator::replenish(const entry_id &entry, mono_time now)
+std::vector<credit_grant> credit_allocator::setDemand(const entry_id &entry, std::uint32_t queued, mono_time /*now*/)
 {
     std::vector<credit_grant> grants;
     credit_account *account = d->find(entry);
-    if (account != nullptr && account->isWaiting(now) && d->canGrantToWaiting()) {
+    if (queued > 0 && account != nullptr && account->isStarved()) {
         d->adjust(entry, *account, grants);
     }
     return grants;
@@ -264,7 +226,7 @@
     return true;
 }
 
-std::vector<credit_grant> credit_allocator::dropHeld(const entry_id &entry, mono_time now)
+std::vector<credit_grant> credit_allocator::dropHeld(const entry_id &entry, mono_time /*now*/)
 {
     credit_account *account = d->find(entry);
     if (account == nullptr || account->held == 0) {
@@ -275,12 +237,11 @@
     std::vector<credit_grant> grants;
     d->adjust(entry, *account, grants);
     d->adjustStarved(entry, grants);
-    d->adjustWaiting(entry, now, grants);
     d->dropUnused();
     return grants;
 }
 
-std::vector<credit_grant> credit_allocator::release(const entry_id &entry, mono_time now)
+std::vector<credit_grant> credit_allocator::release(const entry_id &entry, mono_time /*now*/)
 {
     credit_account *account = d->find(entry);
     if (account == nullptr || account->running == 0) {
@@ -291,7 +252,6 @@
     std::vector<credit_grant> grants;
     d->adjust(entry, *account, grants);
     d->adjustStarved(entry, grants);
-    d->adjustWaiting(entry, now, grants);
     d->dropUnused();
     return grants;
 }
--- a/src/place/credit_allocator.h
+++ b/src/place/credit_allocator.h
@@ -66,12 +66,9 @@
      */
     std::vector<credit_grant> leave(const entry_id &entry, mono_time now);
 
-    /** A report of queued tasks counts for this long; a queue that does not move for longer is reported again. */
-    static constexpr std::chrono::milliseconds DemandLifetime{500};
-
     /**
-     * Updates the number of tasks queued at an entry. An entry that has neither a credit nor a task here is granted credits at
-     * once; others only under a policy that grants to waiting entries.
+     * Updates the number of tasks queued at an entry. Only an entry that has neither a credit nor a task here is granted
+     * credits: moving credits by demand costs more messages than it saves response time.
      * @param entry the entry
      * @param queued number of tasks
      * @param now current time
@@ -79,15 +76,6 @@
      */
     std::vector<credit_grant> setDemand(const entry_id &entry, std::uint32_t queued, mono_time now);
 
-    /**
-     * Grants credits to an entry that has queued tasks and has used its last credit here, if a slot is free and the policy
-     * grants to waiting entries. To be called after a start.
-     * @param entry the entry
-     * @param now current time
-     * @return changes to send
-     */
-    std::vector<credit_grant> replenish(const entry_id &entry, mono_time now);
-
     /**
      * Uses one credit of an entry and gives the start a slot.
      * @param entry the entry
--- a/src/place/credit_policy.h
+++ b/src/place/credit_policy.h
@@ -24,9 +24,6 @@
 
     /** @return whether the credits of all entries are adjusted at once when an entry joins or is lost */
     virtual bool rebalancesOnChange() const = 0;
-
-    /** @return whether entries that wait for a slot are sent credits as soon as one is free, at the cost of a message */
-    virtual bool grantsToWaiting() const = 0;
 };
 
 } // namespace teaselward
--- a/src/place/equal_credit_policy.cpp
+++ b/src/place/equal_credit_policy.cpp
@@ -16,9 +16,4 @@
     return true;
 }
 
-bool equal_credit_policy::grantsToWaiting() const
-{
-    return false;
-}
-
 } // namespace teaselward
--- a/src/place/equal_credit_policy.h
+++ b/src/place/equal_credit_policy.h
@@ -11,7 +11,6 @@
 public:
     std::int32_t target(const credit_account &entry, const credit_totals &totals) const override;
     bool rebalancesOnChange() const override;
-    bool grantsToWaiting() const override;
 };
 
 } // namespace teaselward
--- a/src/place/scarce_credit_policy.cpp
+++ b/src/place/scarce_credit_policy.cpp
@@ -10,9 +10,4 @@
     return static_cast<std::int32_t>(totals.slots / std::max(1U, totals.entries));
 }
 
-bool scarce_credit_policy::grantsToWaiting() const
-{
-    return true;
-}
-
 } // namespace teaselward
--- a/src/place/scarce_credit_policy.h
+++ b/src/place/scarce_credit_policy.h
@@ -9,15 +9,9 @@
  * Like shared_credit_policy, but with the equal share rounded down, so that the credits of all entries together do not exceed
  * the slots of a busy endpoint. An entry without a credit is granted the next slot that becomes free. With the share
  * rounded up, floods through more entries than an endpoint has slots cause starts that wait at the endpoint and are refused.
- *
- * An entry with queued tasks is sent credits when a slot becomes free. Otherwise an entry that has a long task at an endpoint
- * hears of the slots that other entries free there only when its own task ends, and in a burst refuses jobs beside free slots.
  */
 class scarce_credit_policy : public shared_credit_policy
 {
-public:
-    bool grantsToWaiting() const override;
-
 protected:
     std::int32_t equalShare(const credit_totals &totals) const override;
 };
--- a/src/place/shared_credit_policy.cpp
+++ b/src/place/shared_credit_policy.cpp
@@ -34,9 +34,4 @@
     return false;
 }
 
-bool shared_credit_policy::grantsToWaiting() const
-{
-    return false;
-}
-
 } // namespace teaselward
