--- a/src/agent/run/run_id.h
+++ b/src/agent/run/run_id.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -14,6 +15,7 @@
     std::uint32_t attempt = 1;
 
     friend bool operator==(const run_id &, const run_id &) = default;
+    friend auto operator<=>(const run_id &, const run_id &) = default;
 
     template<typename H>
     friend H AbslHashValue(H state, const run_id &value)
--- a/src/agent/run/run_supervisor_private.h
+++ b/src/agent/run/run_supervisor_private.h
@@ -4,11 +4,11 @@
 #include "agent/run/supervised_run.h"
 #include "core/task_outcome.h"
 
-#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -43,7 +43,7 @@
 
     const supervisor_settings settings;
     logger &log;
-    absl::flat_hash_map<run_id, supervised_run> runs;
+    std::map<run_id, supervised_run> runs; ///< Ordered, so that a seed of a simulation replays exactly.
     absl::flat_hash_set<run_id> orphans; ///< Runs that this agent did not request and is stopping.
     std::vector<run_call> calls;
     std::vector<call_finished> ends;
