Name the former incarnation when a simulated session ends

The simulation reported the loss of a session with the identifier of the process that had already been restarted, so the agent did not stop the runs of the former one.

--- a/tests/chain/chain_simulation.cpp
+++ b/tests/chain/chain_simulation.cpp
@@ -80,7 +80,7 @@
     links.dial = [this, agent] {
         for (std::size_t entry = 0; entry < Entries; ++entry) {
             if (!session(entry, agent).isOpenAtAgent()) {
-                m_registered[{entry, agent}] = m_agents[agent]->info();
+                m_dialled[{entry, agent}] = m_agents[agent]->info();
                 session(entry, agent).dial();
             }
         }
@@ -107,16 +107,19 @@
 {
     session_events events;
     events.agentJoined = [this, entry, agent] {
-        m_entries[entry]->handle(agent_joined{.info = m_registered.at({entry, agent}), .credits = 0, .lease = 600ms});
+        const agent_info &info = m_registered[{entry, agent}] = m_dialled.at({entry, agent});
+        m_welcomes[{entry, agent}] = m_entries[entry]->info();
+        m_entries[entry]->handle(agent_joined{.info = info, .credits = 0, .lease = 600ms});
     };
     events.agentLost = [this, entry, agent] {
         m_entries[entry]->handle(agent_lost{.agent = m_registered.at({entry, agent}).id});
     };
     events.entryJoined = [this, entry, agent] {
-        m_agents[agent]->handle(entry_joined{.info = m_entries[entry]->info()});
+        const entry_info &info = m_joined[{entry, agent}] = m_welcomes.at({entry, agent});
+        m_agents[agent]->handle(entry_joined{.info = info});
     };
     events.entryLost = [this, entry, agent] {
-        m_agents[agent]->handle(entry_lost{.entry = m_entries[entry]->info().id});
+        m_agents[agent]->handle(entry_lost{.entry = m_joined.at({entry, agent}).id});
     };
     m_sessions.emplace(std::pair(entry, agent),
                        std::make_unique<chain_session>(m_timeline, m_random, m_entries[entry]->process(), m_agents[agent]->process(), std::move(events)));
--- a/tests/chain/chain_simulation.h
+++ b/tests/chain/chain_simulation.h
@@ -10,6 +10,7 @@
 #include "chain/simulated_worker.h"
 #include "chain/virtual_timeline.h"
 #include "core/agent_info.h"
+#include "core/entry_info.h"
 #include "log/null_logger.h"
 
 #include <array>
@@ -119,7 +120,10 @@
     std::vector<std::unique_ptr<agent_node>> m_agents;
     std::vector<std::unique_ptr<entry_node>> m_entries;
     std::map<std::pair<std::size_t, std::size_t>, std::unique_ptr<chain_session>> m_sessions; ///< By entry and agent.
-    std::map<std::pair<std::size_t, std::size_t>, agent_info> m_registered; ///< Latest registration by entry and agent.
+    std::map<std::pair<std::size_t, std::size_t>, agent_info> m_dialled; ///< Latest attempt to register, by entry and agent.
+    std::map<std::pair<std::size_t, std::size_t>, agent_info> m_registered; ///< Agent of the latest session at the entry.
+    std::map<std::pair<std::size_t, std::size_t>, entry_info> m_welcomes; ///< Entry of the latest session, as told to the agent.
+    std::map<std::pair<std::size_t, std::size_t>, entry_info> m_joined; ///< Entry of the latest session at the agent.
     std::map<std::uint64_t, agent_call> m_calls;
     std::uint64_t m_lastCall = 0;
     std::vector<chain_job> m_jobs;
