--- a/src/agent/run/run_supervisor_private.h
+++ b/src/agent/run/run_supervisor_private.h
@@ -4,11 +4,11 @@
 #include "agent/run/supervised_run.h"
 #include "core/task_outcome.h"
 
-#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -40,10 +40,11 @@
     supervised_run *find(const task_id &task);
     bool hasRunOfTask(const call_endpoint &order) const;
     std::chrono::milliseconds leaseEnd(mono_time now) const;
+    bool isLeaseHeldBack(mono_time now) const;
 
     const supervisor_settings settings;
     logger &log;
-    absl::flat_hash_map<run_id, supervised_run> runs;
+    std::map<run_id, supervised_run> runs; ///< Ordered, so that a seed of a simulation replays exactly.
     absl::flat_hash_set<run_id> orphans; ///< Runs that this agent did not request and is stopping.
     std::vector<run_call> calls;
     std::vector<call_finished> ends;
@@ -56,6 +57,7 @@
     std::optional<std::chrono::milliseconds> clockOffset; ///< Endpoint clock minus agent clock; never overestimated.
     mono_time lastContact{}; ///< Time of the last answer of the endpoint.
     mono_time latestLeaseEnd{}; ///< No lease sent so far ends later, on the agent's clock.
+    std::chrono::milliseconds latestLeaseSent{}; ///< The same on the endpoint's clock.
     mono_time nextList{};
     bool ready = false;
     bool lost = false;
