Start nothing at an endpoint that announces no resources

Callers would see their tasks slowed down or lost at a worker whose heartbeat states a capacity of zero: the agent would start whatever it is sent there.

Cause: zero resources meant "limited by slots only", which is true of our own protocol, where nothing is declared. The platform always declares them, and a capacity that shrinks can reach zero.

Evidence: with the former meaning of zero, anEndpointWithZeroResourcesStartsNothing fails in 2 checks and anEndpointWithZeroResourcesFitsNothing in 3 (the start is not refused, and credits are granted).

Change: the capacity is optional in the settings of the agent core. An empty one means slots only; zero fits nothing, is refused at once and gives no credits. The present tests only name the type or the empty value; their checks are unchanged.

Before: 5 failed checks. After: none in agent_core_test and endpoint_resources_test.

--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -23,7 +23,7 @@
 // Checks whether the endpoint's resources limit its tasks; the slots are then only an estimate.
 bool hasResourceLimits(const agent_core_settings &settings)
 {
-    return settings.capacity.cpuMillis > 0;
+    return settings.capacity.has_value();
 }
 
 } // namespace
--- a/src/agent/agent_core_settings.h
+++ b/src/agent/agent_core_settings.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace teaselward
 {
@@ -12,7 +13,7 @@
 /** Settings of agent_core. */
 struct agent_core_settings {
     agent_info self;
-    task_resources capacity{}; ///< Resources of the endpoint; all zero if only its slots limit it.
+    std::optional<task_resources> capacity; ///< Resources of the endpoint; empty if only its slots limit it.
     std::chrono::milliseconds sessionLease{}; ///< If the decision thread is paused for longer, all sessions are closed; zero disables the check.
     std::chrono::milliseconds retention = std::chrono::minutes(15); ///< Retention of records; longer than the lifetime of a ticket and the longest job.
     std::uint32_t maxRecords = 96 * 1024; ///< Maximum number of starts and tombstones; further starts are refused.
--- a/src/agent/endpoint_resources.cpp
+++ b/src/agent/endpoint_resources.cpp
@@ -14,26 +14,21 @@
 
 } // namespace
 
-endpoint_resources::endpoint_resources(const task_resources &capacity)
+endpoint_resources::endpoint_resources(const std::optional<task_resources> &capacity)
     : m_capacity(capacity)
 {
 }
 
-bool endpoint_resources::isLimited() const
-{
-    return m_capacity != task_resources{};
-}
-
 bool endpoint_resources::fits(const task_resources &needs, std::uint32_t reservedMillis) const
 {
     task_resources reserved = m_used;
     reserved.cpuMillis += reservedMillis;
-    return !isLimited() || isWithin(reserved, needs, m_capacity);
+    return !m_capacity || isWithin(reserved, needs, *m_capacity);
 }
 
 bool endpoint_resources::canEverFit(const task_resources &needs) const
 {
-    return !isLimited() || isWithin({}, needs, m_capacity);
+    return !m_capacity || isWithin({}, needs, *m_capacity);
 }
 
 void endpoint_resources::reserve(const task_resources &needs)
--- a/src/agent/endpoint_resources.h
+++ b/src/agent/endpoint_resources.h
@@ -3,6 +3,7 @@
 #include "core/task_resources.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace teaselward
 {
@@ -16,9 +17,9 @@
 public:
     /**
      * Creates the record of an idle endpoint.
-     * @param capacity resources of the endpoint; all zero means unlimited
+     * @param capacity resources of the endpoint; empty means unlimited
      */
-    explicit endpoint_resources(const task_resources &capacity);
+    explicit endpoint_resources(const std::optional<task_resources> &capacity);
 
     /**
      * Checks whether a task fits beside the running ones.
@@ -46,9 +47,7 @@
     void release(const task_resources &needs);
 
 private:
-    bool isLimited() const;
-
-    task_resources m_capacity;
+    std::optional<task_resources> m_capacity;
     task_resources m_used;
 };
 
--- a/src/agent/task_size_estimate.cpp
+++ b/src/agent/task_size_estimate.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-task_size_estimate::task_size_estimate(const task_resources &capacity, std::uint32_t slots)
+task_size_estimate::task_size_estimate(const std::optional<task_resources> &capacity, std::uint32_t slots)
     : m_capacity(capacity)
     , m_slots(slots)
 {
@@ -27,16 +27,14 @@
 
 std::uint32_t task_size_estimate::slots(std::uint32_t reservedMillis) const
 {
-    if (!isLimitedByResources() || m_mean == 0) {
+    if (m_capacity && m_capacity->cpuMillis == 0) {
+        return 0;
+    }
+    if (!m_capacity || m_mean == 0) {
         return m_slots;
     }
-    const std::uint32_t usable = m_capacity.cpuMillis - std::min(m_capacity.cpuMillis, reservedMillis);
+    const std::uint32_t usable = m_capacity->cpuMillis - std::min(m_capacity->cpuMillis, reservedMillis);
     return std::max(1U, static_cast<std::uint32_t>(usable / m_mean));
 }
 
-bool task_size_estimate::isLimitedByResources() const
-{
-    return m_capacity.cpuMillis > 0;
-}
-
 } // namespace teaselward
--- a/src/agent/task_size_estimate.h
+++ b/src/agent/task_size_estimate.h
@@ -3,6 +3,7 @@
 #include "core/task_resources.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace teaselward
 {
@@ -13,10 +14,10 @@
 public:
     /**
      * Creates an estimate without samples.
-     * @param capacity resources of the endpoint
-     * @param slots number of tasks to assume until there is a sample, and always if the capacity is zero
+     * @param capacity resources of the endpoint; empty if only its slots limit it
+     * @param slots number of tasks to assume until there is a sample, and always without a capacity
      */
-    task_size_estimate(const task_resources &capacity, std::uint32_t slots);
+    task_size_estimate(const std::optional<task_resources> &capacity, std::uint32_t slots);
 
     /**
      * Adds a sample.
@@ -27,15 +28,12 @@
     /**
      * Computes how many tasks of mean size fit into the endpoint.
      * @param reservedMillis CPU that must stay free, in thousandths of a core
-     * @return number of tasks, at least one
+     * @return number of tasks, at least one unless the endpoint has no CPU at all
      */
     std::uint32_t slots(std::uint32_t reservedMillis = 0) const;
 
-    /** @return whether tasks are limited by resources rather than by slots */
-    bool isLimitedByResources() const;
-
 private:
-    task_resources m_capacity;
+    std::optional<task_resources> m_capacity;
     std::uint32_t m_slots;
     double m_mean = 0; ///< Mean CPU of a task in thousandths of a core; zero without samples.
 };
--- a/tests/agent/agent_core_test.cpp
+++ b/tests/agent/agent_core_test.cpp
@@ -476,6 +476,21 @@
     BOOST_TEST(agent.count<call_endpoint>() == 1U);
 }
 
+// Guards against starts at an endpoint that announces zero resources, and against credits that invite them.
+BOOST_AUTO_TEST_CASE(anEndpointWithZeroResourcesStartsNothing)
+{
+    agent_core_settings settings = settingsWith(8);
+    settings.capacity = task_resources{};
+    agent_fixture agent(settings);
+    BOOST_TEST(agent.count<grant_credits>() == 0U);
+    start_order order;
+    order.id = task(0);
+    order.needs = {.cpuMillis = 3000};
+    order.timeLimit = 10s;
+    agent.handle(start_received{.call = {1}, .from = Entry, .order = order});
+    BOOST_TEST(isRefused(agent, reason::overloaded));
+}
+
 // Guards against timer wake-ups of an idle agent.
 BOOST_AUTO_TEST_CASE(anIdleAgentWantsNoTimer)
 {
--- a/tests/agent/endpoint_resources_test.cpp
+++ b/tests/agent/endpoint_resources_test.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+
 using namespace teaselward;
 
 BOOST_AUTO_TEST_SUITE(endpoint_resources_test)
@@ -10,7 +12,7 @@
 // Guards against a start that exceeds one of the endpoint's resources, and against an overflow of the sum.
 BOOST_AUTO_TEST_CASE(boundsEachResource)
 {
-    endpoint_resources resources({.cpuMillis = 4000, .memoryMb = 100, .gpus = 1});
+    endpoint_resources resources(task_resources{.cpuMillis = 4000, .memoryMb = 100, .gpus = 1});
     BOOST_TEST(resources.fits({.cpuMillis = 4000, .memoryMb = 100, .gpus = 1}));
     BOOST_TEST(!resources.fits({.cpuMillis = 4001}));
     BOOST_TEST(!resources.canEverFit({.cpuMillis = 0xFFFFFFFFU}));
@@ -26,14 +28,25 @@
 // Guards against an endpoint of the project's own protocol, which declares no resources, being treated as full.
 BOOST_AUTO_TEST_CASE(anEndpointWithoutResourcesIsNotLimited)
 {
-    const endpoint_resources resources({});
+    const endpoint_resources resources(std::nullopt);
     BOOST_TEST(resources.fits({.cpuMillis = 1000000}));
 }
 
+// Guards against an endpoint that announces no resources at all being treated as unlimited.
+BOOST_AUTO_TEST_CASE(anEndpointWithZeroResourcesFitsNothing)
+{
+    const endpoint_resources resources(task_resources{});
+    BOOST_TEST(!resources.fits({.cpuMillis = 1}));
+    BOOST_TEST(!resources.canEverFit({.memoryMb = 1}));
+    task_size_estimate estimate(task_resources{}, 8);
+    estimate.add({.cpuMillis = 3000});
+    BOOST_TEST(estimate.slots() == 0U);
+}
+
 // Guards against credits that leave a large endpoint half idle because it announces fewer slots than tasks fit.
 BOOST_AUTO_TEST_CASE(estimatesTheTasksThatFit)
 {
-    task_size_estimate estimate({.cpuMillis = 48000, .memoryMb = 1000}, 8);
+    task_size_estimate estimate(task_resources{.cpuMillis = 48000, .memoryMb = 1000}, 8);
     BOOST_TEST(estimate.slots() == 8U);
     estimate.add({.cpuMillis = 3000});
     BOOST_TEST(estimate.slots() == 16U);
--- a/tests/job/overload_simulation.cpp
+++ b/tests/job/overload_simulation.cpp
@@ -59,10 +59,10 @@
         settings.self.id = {agentId(agent)};
         settings.self.slots = 8;
         settings.self.kinds = {"service"};
-        settings.capacity = {.cpuMillis = isLarge ? 48000U : 32000U, .memoryMb = 131072, .gpus = 0};
+        settings.capacity = task_resources{.cpuMillis = isLarge ? 48000U : 32000U, .memoryMb = 131072, .gpus = 0};
         m_agents[agent].core = std::make_unique<agent_core>(settings, m_log);
         m_agents[agent].slowdown = isLarge ? 1.3 : 1;
-        m_agents[agent].freeMillis = settings.capacity.cpuMillis;
+        m_agents[agent].freeMillis = settings.capacity->cpuMillis;
     }
     for (std::size_t entry = 0; entry < entries; ++entry) {
         entry_core_settings settings;
