Follow the capacity of a worker while it runs

Callers would see tasks started above the capacity of a worker that has shrunk (LIMIT), and a worker that has grown used no further than before.

Cause: the agent took the capacity from the first heartbeat of an instance. endpoint_watch gave a later one with another capacity the effect "unchanged".

Change: the watch reports a newer heartbeat of the adopted instance with another capacity; one line of the log states new and former values. The decision thread learns it as capacity_changed and resizes its resources, the estimate of slots and the credits: they are recalled or granted at once, held starts that can never fit are refused at once, others start when there is room. Runs continue, and count until their end is certain, also while they are being stopped. An agent that is created after the change takes the newest heartbeat. Entries learn of it by their credits.

--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -59,6 +59,7 @@
         &core::call<&core::onEntryLost, entry_lost>,
         &core::call<&core::onTimer, agent_timer_fired>,
         &core::call<&core::onDrainStarted, agent_drain_started>,
+        &core::call<&core::onCapacityChanged, capacity_changed>,
     };
     m_actions = &actions;
     detectPause(now);
@@ -330,6 +331,21 @@
     }
 }
 
+// Running tasks continue even if they exceed the new capacity; new ones start once enough of them have ended.
+void agent_core_private::onCapacityChanged(const capacity_changed &event)
+{
+    m_resources.resize(event.capacity);
+    m_taskSize.resize(event.capacity);
+    m_credits.resize(m_taskSize.slots(m_reserve.unusedMillis(m_now)));
+    refuseAllHeld(
+        [this](const held_start &held) {
+            return !m_resources.canEverFit(held.order.needs);
+        },
+        reason::overloaded);
+    startHeld();
+    grant(m_credits.adjustAll(m_now), nullptr);
+}
+
 // Sends credit changes. Those for the entry that is being answered are returned instead, to be sent with the answer.
 std::int32_t agent_core_private::grant(const std::vector<credit_grant> &grants, const entry_id *answeredEntry)
 {
--- a/src/agent/agent_core_private.h
+++ b/src/agent/agent_core_private.h
@@ -50,6 +50,7 @@
     void onEntryLost(const entry_lost &event);
     void onTimer(const agent_timer_fired &event);
     void onDrainStarted(const agent_drain_started &event);
+    void onCapacityChanged(const capacity_changed &event);
 
     void detectPause(mono_time now);
     void stopRunsOf(const entry_id &entry);
--- a/src/agent/agent_event.h
+++ b/src/agent/agent_event.h
@@ -3,6 +3,7 @@
 #include "agent/event/agent_drain_started.h"
 #include "agent/event/agent_timer_fired.h"
 #include "agent/event/call_finished.h"
+#include "agent/event/capacity_changed.h"
 #include "agent/event/demand_received.h"
 #include "agent/event/entry_joined.h"
 #include "agent/event/entry_lost.h"
@@ -16,7 +17,10 @@
 namespace teaselward
 {
 
-/** Input of agent_core::handle(): a message from an entry, the end of a call to the endpoint, a timer or a request to stop. */
+/**
+ * Input of agent_core::handle(): a message from an entry, the end of a call to the endpoint, a change of its resources, a timer
+ * or a request to stop.
+ */
 using agent_event = std::variant<start_received,
                                  stop_received,
                                  revoke_received,
@@ -26,6 +30,7 @@
                                  entry_joined,
                                  entry_lost,
                                  agent_timer_fired,
-                                 agent_drain_started>;
+                                 agent_drain_started,
+                                 capacity_changed>;
 
 } // namespace teaselward
--- a/src/agent/endpoint_resources.cpp
+++ b/src/agent/endpoint_resources.cpp
@@ -19,6 +19,11 @@
 {
 }
 
+void endpoint_resources::resize(const task_resources &capacity)
+{
+    m_capacity = capacity;
+}
+
 bool endpoint_resources::fits(const task_resources &needs, std::uint32_t reservedMillis) const
 {
     task_resources reserved = m_used;
--- a/src/agent/endpoint_resources.h
+++ b/src/agent/endpoint_resources.h
@@ -21,6 +21,12 @@
      */
     explicit endpoint_resources(const std::optional<task_resources> &capacity);
 
+    /**
+     * Changes the capacity of a limited endpoint. Reserved resources stay reserved and may exceed it.
+     * @param capacity resources of the endpoint
+     */
+    void resize(const task_resources &capacity);
+
     /**
      * Checks whether a task fits beside the running ones.
      * @param needs resources of the task
--- a/src/agent/run/announcement_effect.h
+++ b/src/agent/run/announcement_effect.h
@@ -10,6 +10,7 @@
     unchanged, ///< Nothing has changed, or the announcement is outdated.
     adopt, ///< A new instance of the endpoint must be adopted; an earlier one has ended.
     drain, ///< The endpoint has started to drain.
+    resize, ///< The capacity of the adopted instance has changed.
 };
 
 } // namespace teaselward
--- a/src/agent/run/endpoint_watch.cpp
+++ b/src/agent/run/endpoint_watch.cpp
@@ -24,12 +24,16 @@
         return announcement_effect::unchanged;
     }
     const bool startsToDrain = announcement.isDraining && !(isSameInstance && m_current->isDraining);
+    const bool isResized = isSameInstance && announcement.capacity != m_current->capacity;
     m_current = announcement;
     if (!isSameInstance || !m_isAdopted) {
         m_isAdopted = !announcement.isDraining;
         return m_isAdopted ? announcement_effect::adopt : announcement_effect::unchanged;
     }
-    return startsToDrain ? announcement_effect::drain : announcement_effect::unchanged;
+    if (startsToDrain) {
+        return announcement_effect::drain; // A change of the capacity at the same time no longer matters: there are no further starts.
+    }
+    return isResized ? announcement_effect::resize : announcement_effect::unchanged;
 }
 
 bool endpoint_watch::applyStop(std::string_view id)
--- a/src/agent/task_size_estimate.cpp
+++ b/src/agent/task_size_estimate.cpp
@@ -18,6 +18,11 @@
 {
 }
 
+void task_size_estimate::resize(const task_resources &capacity)
+{
+    m_capacity = capacity;
+}
+
 void task_size_estimate::add(const task_resources &needs)
 {
     if (needs.cpuMillis > 0) {
--- a/src/agent/task_size_estimate.h
+++ b/src/agent/task_size_estimate.h
@@ -19,6 +19,12 @@
      */
     task_size_estimate(const std::optional<task_resources> &capacity, std::uint32_t slots);
 
+    /**
+     * Changes the capacity of a limited endpoint.
+     * @param capacity resources of the endpoint
+     */
+    void resize(const task_resources &capacity);
+
     /**
      * Adds a sample.
      * @param needs resources of a requested task
--- a/src/place/credit_allocator.cpp
+++ b/src/place/credit_allocator.cpp
@@ -181,6 +181,15 @@
     d->totals.slots = slots;
 }
 
+std::vector<credit_grant> credit_allocator::adjustAll(mono_time /*now*/)
+{
+    std::vector<credit_grant> grants;
+    for (auto &item : d->members) {
+        d->adjust(item.entry, item.account, grants);
+    }
+    return grants;
+}
+
 bool credit_allocator::hold(const entry_id &entry)
 {
     if (d->closed || d->totals.held >= MaxHeldPerSlot * d->totals.slots) {
--- a/src/place/credit_allocator.h
+++ b/src/place/credit_allocator.h
@@ -91,11 +91,18 @@
     bool spend(const entry_id &entry);
 
     /**
-     * Changes the number of slots. Credits are adjusted as tasks end.
+     * Changes the number of slots. Credits are adjusted as tasks end, or by adjustAll().
      * @param slots tasks that the endpoint runs at once
      */
     void resize(std::uint32_t slots);
 
+    /**
+     * Adjusts the credits of all entries at once, after a change of the slots that no end of a task would make known in time.
+     * @param now current time
+     * @return changes to send
+     */
+    std::vector<credit_grant> adjustAll(mono_time now);
+
     /**
      * Holds a start for which take() found no slot.
      * @param entry the entry
--- a/src/proc/agent_process.cpp
+++ b/src/proc/agent_process.cpp
@@ -133,6 +133,11 @@
     d->events.push(agent_drain_started{bound});
 }
 
+void agent_process::changeCapacity(const task_resources &capacity)
+{
+    d->events.push(capacity_changed{capacity});
+}
+
 void agent_process::waitForStop()
 {
     d->stopped.WaitForNotification();
--- a/src/proc/agent_process.h
+++ b/src/proc/agent_process.h
@@ -55,6 +55,12 @@
      */
     void requestStop(std::chrono::milliseconds bound);
 
+    /**
+     * Reports that the resources of the endpoint have changed. May be called from any thread.
+     * @param capacity new resources
+     */
+    void changeCapacity(const task_resources &capacity);
+
     /** Blocks until the graceful shutdown has ended. */
     void waitForStop();
 
--- a/src/proc/platform_agent_process.cpp
+++ b/src/proc/platform_agent_process.cpp
@@ -105,6 +105,7 @@
     void onAnnounced(watch_event &event)
     {
         const auto &announcement = std::get<endpoint_announcement>(event);
+        const task_resources formerCapacity = watch.current() ? watch.current()->capacity : task_resources{};
         switch (watch.applyHeartbeat(announcement)) {
         case announcement_effect::adopt:
             if (!isStopping) {
@@ -117,11 +118,38 @@
                 agent->requestStop(DrainBound);
             }
             break;
+        case announcement_effect::resize:
+            resize(announcement, formerCapacity);
+            break;
         case announcement_effect::unchanged:
             break;
         }
     }
 
+    // An agent that is created later takes the capacity from the newest heartbeat.
+    void resize(const endpoint_announcement &announcement, const task_resources &former)
+    {
+        const task_resources &capacity = announcement.capacity;
+        log.write(log_part::member,
+                  concat("The capacity of the endpoint has changed. worker=",
+                         announcement.id,
+                         " cpu_millis=",
+                         capacity.cpuMillis,
+                         " memory_mb=",
+                         capacity.memoryMb,
+                         " gpus=",
+                         capacity.gpus,
+                         " former_cpu_millis=",
+                         former.cpuMillis,
+                         " former_memory_mb=",
+                         former.memoryMb,
+                         " former_gpus=",
+                         former.gpus));
+        if (agent) {
+            agent->changeCapacity(capacity);
+        }
+    }
+
     void adopt(const endpoint_announcement &announcement)
     {
         endInstance();
--- a/tests/agent/agent_core_test.cpp
+++ b/tests/agent/agent_core_test.cpp
@@ -38,6 +38,13 @@
     return settings;
 }
 
+agent_core_settings settingsWithCpu(std::uint32_t cpuMillis)
+{
+    agent_core_settings settings = settingsWith(8);
+    settings.capacity = task_resources{.cpuMillis = cpuMillis};
+    return settings;
+}
+
 // Drives an agent core; `actions` holds the actions of the last event.
 struct agent_fixture {
     explicit agent_fixture(const agent_core_settings &settings = settingsWith(8))
@@ -69,6 +76,32 @@
         return {calls};
     }
 
+    // Starts a restartable task that needs CPU.
+    void startSized(const task_id &id, std::uint32_t cpuMillis, const entry_id &from = Entry)
+    {
+        start_order order;
+        order.id = id;
+        order.needs = {.cpuMillis = cpuMillis};
+        order.restartable = true;
+        order.timeLimit = 10s;
+        handle(start_received{.call = {++calls}, .from = from, .order = order});
+    }
+
+    void resize(std::uint32_t cpuMillis)
+    {
+        handle(capacity_changed{.capacity = {.cpuMillis = cpuMillis}});
+    }
+
+    // Returns the change of an entry's credits by messages of the last event.
+    std::int32_t granted(const entry_id &entry) const
+    {
+        std::int32_t sum = 0;
+        for (const grant_credits &one : all<grant_credits>()) {
+            sum += one.entry == entry ? one.delta : 0;
+        }
+        return sum;
+    }
+
     void finish(const task_id &id, const task_outcome &outcome)
     {
         handle(call_finished{.id = id, .outcome = outcome});
@@ -479,16 +512,103 @@
 // Guards against starts at an endpoint that announces zero resources, and against credits that invite them.
 BOOST_AUTO_TEST_CASE(anEndpointWithZeroResourcesStartsNothing)
 {
-    agent_core_settings settings = settingsWith(8);
-    settings.capacity = task_resources{};
-    agent_fixture agent(settings);
-    BOOST_TEST(agent.count<grant_credits>() == 0U);
-    start_order order;
-    order.id = task(0);
-    order.needs = {.cpuMillis = 3000};
-    order.timeLimit = 10s;
-    agent.handle(start_received{.call = {1}, .from = Entry, .order = order});
+    agent_fixture agent(settingsWithCpu(0));
+    BOOST_TEST(agent.granted(Entry) == 0);
+    agent.startSized(task(0), 3000);
+    BOOST_TEST(isRefused(agent, reason::overloaded));
+}
+
+// Guards against a start that exceeds a capacity which has shrunk below what runs, and against one beside a run that is still
+// being stopped. What runs must not be stopped because of the change.
+BOOST_AUTO_TEST_CASE(startsNothingAboveAShrunkCapacity)
+{
+    agent_fixture agent(settingsWithCpu(8000));
+    agent.startSized(task(0), 4000);
+    agent.startSized(task(1), 4000);
+    agent.resize(4000);
+    BOOST_TEST(agent.count<stop_call>() == 0U);
+    agent.startSized(task(2), 1000);
+    BOOST_TEST(agent.actions.empty()); // Held.
+    agent.handle(stop_received{.from = Entry, .id = task(0)});
+    BOOST_TEST(agent.count<stop_call>() == 1U);
+    BOOST_TEST(agent.count<call_endpoint>() == 0U);
+    agent.finish(task(0), outcome(task_verdict::interrupted));
+    BOOST_TEST(agent.count<call_endpoint>() == 0U);
+    agent.finish(task(1), outcome(task_verdict::succeeded));
+    BOOST_REQUIRE(agent.count<call_endpoint>() == 1U);
+    BOOST_TEST((agent.get<call_endpoint>().id == task(2)));
+}
+
+// Guards against held starts that wait for the end of a task although the capacity has grown.
+BOOST_AUTO_TEST_CASE(startsHeldTasksWhenTheCapacityGrows)
+{
+    agent_fixture agent(settingsWithCpu(4000));
+    agent.startSized(task(0), 4000);
+    agent.startSized(task(1), 4000);
+    agent.startSized(task(2), 4000);
+    BOOST_TEST(agent.actions.empty());
+    agent.resize(8000);
+    BOOST_REQUIRE(agent.count<call_endpoint>() == 1U);
+    BOOST_TEST((agent.get<call_endpoint>().id == task(1)));
+    agent.resize(12000);
+    BOOST_REQUIRE(agent.count<call_endpoint>() == 1U);
+    BOOST_TEST((agent.get<call_endpoint>().id == task(2)));
+}
+
+// Guards against entries that go on sending starts to an endpoint that has shrunk, and against a grown one that they ignore
+// because no task of theirs ends there.
+BOOST_AUTO_TEST_CASE(adjustsTheCreditsToTheCapacity)
+{
+    agent_fixture agent(settingsWithCpu(32000));
+    BOOST_TEST(agent.granted(Entry) == 8);
+    agent.join(Other);
+    BOOST_TEST(agent.granted(Other) == 6);
+    agent.startSized(task(0), 4000); // Eight of this size fit; Entry has seven credits left.
+    agent.resize(4000);
+    BOOST_TEST(agent.granted(Entry) == -7);
+    BOOST_TEST(agent.granted(Other) == -6);
+    agent.resize(32000);
+    BOOST_TEST(agent.granted(Entry) == 5);
+    BOOST_TEST(agent.granted(Other) == 5);
+}
+
+// Guards against a held start that waits for room which the endpoint no longer has.
+BOOST_AUTO_TEST_CASE(refusesHeldStartsThatNoLongerFit)
+{
+    agent_fixture agent(settingsWithCpu(8000));
+    agent.startSized(task(0), 8000);
+    agent.startSized(task(1), 6000);
+    agent.startSized(task(2), 3000);
+    agent.resize(4000);
+    BOOST_TEST(isRefused(agent, reason::overloaded));
+    BOOST_TEST((agent.get<answer_start>().id == task(1)));
+    agent.finish(task(0), outcome(task_verdict::succeeded));
+    BOOST_REQUIRE(agent.count<call_endpoint>() == 1U);
+    BOOST_TEST((agent.get<call_endpoint>().id == task(2)));
+}
+
+// Guards against an endpoint that counts as unlimited once its capacity has shrunk to zero.
+BOOST_AUTO_TEST_CASE(aCapacityOfZeroAdmitsNothing)
+{
+    agent_fixture agent(settingsWithCpu(8000));
+    agent.resize(0);
+    BOOST_TEST(agent.granted(Entry) == -8);
+    agent.startSized(task(0), 1000);
     BOOST_TEST(isRefused(agent, reason::overloaded));
+    agent.resize(8000);
+    BOOST_TEST(agent.granted(Entry) > 0);
+    agent.startSized(task(1), 1000);
+    BOOST_TEST(agent.count<call_endpoint>() == 1U);
+}
+
+// Guards against credits granted by a draining agent whose endpoint grows.
+BOOST_AUTO_TEST_CASE(aDrainingAgentGrantsNothingWhenTheCapacityGrows)
+{
+    agent_fixture agent(settingsWithCpu(4000));
+    agent.startSized(task(0), 4000);
+    agent.handle(agent_drain_started{.bound = 30s});
+    agent.resize(8000);
+    BOOST_TEST(agent.actions.empty());
 }
 
 // Guards against timer wake-ups of an idle agent.
--- a/tests/agent/endpoint_resources_test.cpp
+++ b/tests/agent/endpoint_resources_test.cpp
@@ -43,6 +43,41 @@
     BOOST_TEST(estimate.slots() == 0U);
 }
 
+// Guards against a start beside running tasks that exceed a shrunk capacity, for example by an underflow of what is left.
+BOOST_AUTO_TEST_CASE(aShrunkCapacityMayBeLessThanWhatRuns)
+{
+    const task_resources running{.cpuMillis = 3000, .memoryMb = 80, .gpus = 1};
+    endpoint_resources resources(task_resources{.cpuMillis = 4000, .memoryMb = 100, .gpus = 1});
+    resources.reserve(running);
+    resources.resize({.cpuMillis = 2000, .memoryMb = 50, .gpus = 0});
+    BOOST_TEST(!resources.fits({.cpuMillis = 1}));
+    BOOST_TEST(!resources.fits({.memoryMb = 1}));
+    BOOST_TEST(!resources.fits({.cpuMillis = 1}, 5000));
+    BOOST_TEST(!resources.canEverFit({.cpuMillis = 2001}));
+    BOOST_TEST(!resources.canEverFit({.gpus = 1}));
+    BOOST_TEST(resources.canEverFit({.cpuMillis = 2000, .memoryMb = 50}));
+    resources.release(running);
+    BOOST_TEST(resources.fits({.cpuMillis = 2000, .memoryMb = 50}));
+    BOOST_TEST(!resources.fits({.cpuMillis = 1}, 2000));
+    resources.resize({.cpuMillis = 8000, .memoryMb = 200, .gpus = 2});
+    BOOST_TEST(resources.fits({.cpuMillis = 8000, .memoryMb = 200, .gpus = 2}));
+}
+
+// Guards against a number of slots that stays that of the first heartbeat, and against an underflow if the reserve for urgent
+// tasks exceeds a shrunk capacity.
+BOOST_AUTO_TEST_CASE(theEstimateFollowsTheCapacity)
+{
+    task_size_estimate estimate(task_resources{.cpuMillis = 48000}, 8);
+    estimate.add({.cpuMillis = 3000});
+    estimate.resize({.cpuMillis = 6000});
+    BOOST_TEST(estimate.slots() == 2U);
+    BOOST_TEST(estimate.slots(20000) == 1U);
+    estimate.resize({});
+    BOOST_TEST(estimate.slots() == 0U);
+    estimate.resize({.cpuMillis = 24000});
+    BOOST_TEST(estimate.slots() == 8U);
+}
+
 // Guards against credits that leave a large endpoint half idle because it announces fewer slots than tasks fit.
 BOOST_AUTO_TEST_CASE(estimatesTheTasksThatFit)
 {
--- a/tests/agent/run/endpoint_watch_test.cpp
+++ b/tests/agent/run/endpoint_watch_test.cpp
@@ -78,6 +78,36 @@
     BOOST_TEST((watch.applyHeartbeat(heartbeat(200ms, 2)) == announcement_effect::adopt));
 }
 
+// Guards against a capacity that stays that of the first heartbeat, and against a delayed heartbeat that restores an earlier one.
+BOOST_AUTO_TEST_CASE(followsTheCapacityOfTheInstance)
+{
+    const auto sized = [](std::uint64_t sequence, std::uint32_t cpuMillis) {
+        endpoint_announcement made = heartbeat(100ms, sequence);
+        made.capacity = {.cpuMillis = cpuMillis};
+        return made;
+    };
+    endpoint_watch watch("register");
+    BOOST_TEST((watch.applyHeartbeat(sized(1, 8000)) == announcement_effect::adopt));
+    BOOST_TEST((watch.applyHeartbeat(sized(2, 6000)) == announcement_effect::resize)); // Before the instance has answered calls.
+    BOOST_TEST(watch.current()->capacity.cpuMillis == 6000U);
+    watch.markConfirmed();
+    BOOST_TEST((watch.applyHeartbeat(sized(3, 6000)) == announcement_effect::unchanged));
+    BOOST_TEST((watch.applyHeartbeat(sized(5, 3000)) == announcement_effect::resize));
+    BOOST_TEST((watch.applyHeartbeat(sized(4, 6000)) == announcement_effect::unchanged));
+    BOOST_TEST(watch.current()->capacity.cpuMillis == 3000U);
+    BOOST_TEST((watch.applyHeartbeat(sized(6, 9000)) == announcement_effect::resize));
+}
+
+// Guards against a drain that goes unnoticed because the capacity changes with the same heartbeat.
+BOOST_AUTO_TEST_CASE(aDrainComesBeforeAChangeOfTheCapacity)
+{
+    endpoint_watch watch("register");
+    watch.applyHeartbeat(heartbeat(100ms, 1));
+    endpoint_announcement both = heartbeat(100ms, 2, true);
+    both.capacity = {.cpuMillis = 1000};
+    BOOST_TEST((watch.applyHeartbeat(both) == announcement_effect::drain));
+}
+
 // Guards against heartbeats of another service.
 BOOST_AUTO_TEST_CASE(ignoresOtherServices)
 {
--- a/tests/place/credit_allocator_test.cpp
+++ b/tests/place/credit_allocator_test.cpp
@@ -250,6 +250,28 @@
     }
 }
 
+// Guards against credits for slots that no longer exist, and against new slots that no entry learns of while nothing runs. An
+// entry whose connection is lost must get no message.
+BOOST_AUTO_TEST_CASE(changedSlotsAdjustAllCredits)
+{
+    credit_allocator allocator(8, "scarce", false);
+    BOOST_TEST(deltaFor(allocator.join({1}, {}), 1) == 8);
+    BOOST_TEST(deltaFor(allocator.join({2}, {}), 2) == 6);
+    allocator.join({3}, {});
+    BOOST_TEST(allocator.take({3}));
+    allocator.leave({3}, {}); // Its task goes on.
+    allocator.resize(1);
+    const auto recalled = allocator.adjustAll({});
+    BOOST_TEST(deltaFor(recalled, 1) == -8);
+    BOOST_TEST(deltaFor(recalled, 2) == -6);
+    BOOST_TEST(allocator.adjustAll({}).empty());
+    allocator.resize(11);
+    const auto granted = allocator.adjustAll({});
+    BOOST_TEST(deltaFor(granted, 1) == 7);
+    BOOST_TEST(deltaFor(granted, 2) == 7);
+    BOOST_TEST(deltaFor(granted, 3) == 0);
+}
+
 // Guards against new work at an agent that is leaving.
 BOOST_AUTO_TEST_CASE(leavingAgentGrantsAndStartsNothing)
 {
--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -68,6 +68,36 @@
     BOOST_TEST(runs.find("teaselward_run_seconds_count{verdict=\"succeeded\",reason=\"none\"}") != std::string::npos);
 }
 
+// Guards against starts above the capacity of a worker that has shrunk while it runs, and against a grown worker that is used
+// no further than before. Starts that were under way when the capacity changed may exceed it, so the test first waits for a
+// job that does not.
+BOOST_AUTO_TEST_CASE(followsTheCapacityOfARunningWorker)
+{
+    platform_deployment system(CpuMillis);
+    system.publish(3);
+    system.waitUntilServing();
+    system.worker().setCapacity(CpuMillis / 2); // One task at a time.
+    int number = 1;
+    std::size_t before = 0;
+    do {
+        before = system.worker().violations().size();
+        BOOST_TEST(post(system.frontUrl() + id(++number), job(4, 100), 20s).status == 200);
+    } while (system.worker().violations().size() > before && number < 100);
+    for (int i = 0; i < 5; ++i) {
+        BOOST_TEST(post(system.frontUrl() + id(++number), job(4, 100), 20s).status == 200);
+    }
+    BOOST_TEST(system.worker().violations().size() == before);
+    nlohmann::json large = job(1, 10);
+    large["Steps"][0]["Cpu"] = CpuMillis + 1000;
+    BOOST_TEST(post(system.frontUrl() + id(++number), large, 20s).status != 200);
+    system.worker().setCapacity(2 * CpuMillis);
+    long status = 0;
+    for (int i = 0; i < 20 && status != 200; ++i) {
+        status = post(system.frontUrl() + id(++number), large, 20s).status;
+    }
+    BOOST_TEST(status == 200);
+}
+
 // Guards against malformed requests that crash the entry, hang, or start a task.
 BOOST_AUTO_TEST_CASE(rejectsMalformedRequests)
 {
--- a/tests/support/worker_stub.cpp
+++ b/tests/support/worker_stub.cpp
@@ -229,14 +229,15 @@
     {
         std::uint64_t sequence = 0;
         while (!stopping.WaitForNotificationWithTimeout(absl::FromChrono(HeartbeatInterval))) {
+            const auto [drains, capacity] = announcedState();
             const json body{{"Service", "register"},
                             {"Address", address},
                             {"Zone", "fd-1"},
                             {"Version", "v1"},
                             {"Slots", 4},
-                            {"State", isDraining() ? "draining" : "ready"},
+                            {"State", drains ? "draining" : "ready"},
                             {"ColdRemainingMs", 0},
-                            {"Capacity", {{"Cpu", cpuMillis}, {"MemMb", 4096}, {"Gpu", 0}}},
+                            {"Capacity", {{"Cpu", capacity}, {"MemMb", 4096}, {"Gpu", 0}}},
                             {"Labels", json::array()},
                             {"ClockMs", 1},
                             {"born", 1000},
@@ -245,10 +246,11 @@
         }
     }
 
-    bool isDraining()
+    // Returns whether the worker drains, and its CPU capacity.
+    std::pair<bool, std::uint32_t> announcedState()
     {
         const absl::MutexLock lock(&mutex);
-        return draining;
+        return {draining, cpuMillis};
     }
 
     static MHD_Result onRequest(
@@ -256,9 +258,9 @@
 
     const std::string address;
     const std::string agent;
-    const std::uint32_t cpuMillis;
     const clock::time_point bornAt = clock::now() - std::chrono::seconds(50);
     mutable absl::Mutex mutex;
+    std::uint32_t cpuMillis ABSL_GUARDED_BY(mutex);
     absl::CondVar changed;
     std::map<std::string, stub_run> runs ABSL_GUARDED_BY(mutex);
     std::map<std::string, int> highestAttempts ABSL_GUARDED_BY(mutex); ///< Per task: the highest attempt that has ended or was stopped.
@@ -369,6 +371,12 @@
     d->draining = drains;
 }
 
+void worker_stub::setCapacity(std::uint32_t cpuMillis)
+{
+    const absl::MutexLock lock(&d->mutex);
+    d->cpuMillis = cpuMillis;
+}
+
 std::size_t worker_stub::startedRuns() const
 {
     const absl::MutexLock lock(&d->mutex);
--- a/tests/support/worker_stub.h
+++ b/tests/support/worker_stub.h
@@ -47,6 +47,9 @@
     /** Sets the state that the heartbeats report. @param drains true for draining, false for ready */
     void setDraining(bool drains);
 
+    /** Changes the CPU capacity while the worker runs. @param cpuMillis thousandths of a core */
+    void setCapacity(std::uint32_t cpuMillis);
+
     /** @return number of runs started so far */
     std::size_t startedRuns() const;
 
