Declare the report of a crashed endpoint

An entry cannot tell a run that was lost with a crashed endpoint from any other loss, so it places the task elsewhere at once and crashes the next endpoint. The types of the report come first: an outcome says that the endpoint crashed, a start says at which age the last run of the task was lost that way, and the agent reports the kinds that were running to every entry, which stops placing there. Nothing sends the report yet.

--- a/src/agent/agent_action.h
+++ b/src/agent/agent_action.h
@@ -8,6 +8,7 @@
 #include "agent/action/end_sessions.h"
 #include "agent/action/finish_agent_drain.h"
 #include "agent/action/grant_credits.h"
+#include "agent/action/report_crash.h"
 #include "agent/action/stop_call.h"
 
 #include <variant>
@@ -16,7 +17,15 @@
 {
 
 /** Any action that agent_core requests from its adapters. */
-using agent_action
-    = std::variant<answer_start, answer_revoke, answer_fence, call_endpoint, stop_call, end_sessions, grant_credits, announce_leaving, finish_agent_drain>;
+using agent_action = std::variant<answer_start,
+                                  answer_revoke,
+                                  answer_fence,
+                                  call_endpoint,
+                                  stop_call,
+                                  end_sessions,
+                                  grant_credits,
+                                  announce_leaving,
+                                  report_crash,
+                                  finish_agent_drain>;
 
 } // namespace teaselward
--- a/src/core/start_order.h
+++ b/src/core/start_order.h
@@ -25,6 +25,7 @@
     bool restartable = false; ///< The run is stopped when its home entry is lost.
     bool highPriority = false; ///< May use the capacity that the endpoint keeps free of other kinds.
     std::optional<std::chrono::milliseconds> slack{}; ///< Delay after which the job misses its objective; negative once it has missed it.
+    std::optional<std::chrono::milliseconds> crashAge{}; ///< Age of the last run of the task that was lost with a crashed endpoint.
 };
 
 } // namespace teaselward
--- a/src/core/task_outcome.h
+++ b/src/core/task_outcome.h
@@ -15,6 +15,7 @@
     reason why = reason::none;
     std::string body; ///< Result if the task succeeded, otherwise a text for operators.
     std::chrono::microseconds runTime{}; ///< Measured by the agent.
+    bool endpointCrashed = false; ///< The run was lost because its endpoint crashed.
 };
 
 } // namespace teaselward
--- a/src/job/entry_core_events.cpp
+++ b/src/job/entry_core_events.cpp
@@ -2,6 +2,7 @@
 
 #include "core/concat.h"
 
+#include <string>
 #include <utility>
 
 namespace teaselward::detail
@@ -97,6 +98,20 @@
     m_context.slots.leave(event.agent);
 }
 
+// The agent still answers the starts that were lost, and joins under a new id once the endpoint is back.
+void entry_core_private::onEndpointCrashed(const endpoint_crashed &event)
+{
+    if (m_context.log.isEnabled()) {
+        std::string kinds;
+        for (const crash_suspect &suspect : event.suspects) {
+            kinds += concat(kinds.empty() ? "" : ",", suspect.kind, suspect.isRepeated ? "(repeated)" : "");
+        }
+        m_context.log.write(log_part::member, concat("Endpoint crashed. agent=", event.agent.value, " kinds=", kinds));
+    }
+    m_agents.leave(event.agent);
+    m_context.slots.leave(event.agent);
+}
+
 void entry_core_private::onCreditsGranted(const credits_granted &event)
 {
     m_context.slots.addCredits(event.agent, event.delta);
--- a/src/job/entry_core_private.h
+++ b/src/job/entry_core_private.h
@@ -45,6 +45,7 @@
     void onAgentJoined(const agent_joined &event);
     void onAgentLost(const agent_lost &event);
     void onAgentLeaving(const agent_leaving &event);
+    void onEndpointCrashed(const endpoint_crashed &event);
     void onCreditsGranted(const credits_granted &event);
     void onTaskFinished(const task_finished &event);
     void onStartUnanswered(const start_unanswered &event);
--- a/src/job/entry_event.h
+++ b/src/job/entry_event.h
@@ -5,6 +5,7 @@
 #include "job/event/agent_lost.h"
 #include "job/event/credits_granted.h"
 #include "job/event/drain_started.h"
+#include "job/event/endpoint_crashed.h"
 #include "job/event/forward_answered.h"
 #include "job/event/job_cancelled.h"
 #include "job/event/job_queried.h"
@@ -38,6 +39,7 @@
                                  agent_joined,
                                  agent_lost,
                                  agent_leaving,
+                                 endpoint_crashed,
                                  credits_granted,
                                  task_finished,
                                  start_unanswered,
