Divide the endpoints into lanes

Tasks that crash their endpoints must not reach the endpoints of other kinds. The plan depends only on the addresses, so all entries isolate the same endpoints without a message, and an endpoint that is lost keeps its lane for 10 s; otherwise another one would take its place after each crash, and the crashes would reach all of them. Nothing divides the endpoints yet.

--- a/src/place/endpoint_pool.h
+++ b/src/place/endpoint_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "place/endpoint_record.h"
+#include "place/placement_lane.h"
 
 #include <array>
 #include <cstddef>
@@ -13,7 +14,7 @@
 {
 
 /**
- * Index of the available endpoints that offer the same kinds in the same failure domain, grouped by level. The level is the
+ * Index of the available endpoints that offer the same kinds in the same failure domain and lane, grouped by level. The level is the
  * rank that placement_strategy::level() gives an endpoint. Each operation takes constant time, whatever the number of
  * endpoints.
  */
@@ -24,6 +25,7 @@
 
     std::vector<std::string> kinds; ///< Sorted.
     std::string failureDomain;
+    placement_lane lane = placement_lane::shared;
 
     /**
      * Moves an endpoint to a level.
--- a/src/place/endpoint_record.h
+++ b/src/place/endpoint_record.h
@@ -16,6 +16,7 @@
 struct endpoint_record {
     agent_info info;
     bool connected = false; ///< Connected and not leaving.
+    mono_time lostAt{}; ///< Time at which it was last disconnected.
     std::int32_t credits = 0; ///< Negative if a recalled credit had already been used.
     std::uint32_t outstanding = 0; ///< Unfinished tasks that this entry has started there.
 
--- a/src/place/kind_record.h
+++ b/src/place/kind_record.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "place/placement_lane.h"
+
+#include <array>
 #include <cstddef>
 #include <vector>
 
@@ -9,7 +12,7 @@
 /** State of one kind over all endpoints. */
 struct kind_record {
     std::vector<std::size_t> pools; ///< Pools whose endpoints offer the kind.
-    std::size_t slots = 0; ///< Slots of the connected endpoints that offer the kind, free or not.
+    std::array<std::size_t, PlacementLanes> slots{}; ///< By lane: slots of the connected endpoints that offer the kind, free or not.
     double failureSum = 0; ///< Sum of the failure ratios of the endpoints that have run the kind.
     std::size_t reporting = 0; ///< Number of endpoints that have run the kind.
     double logRunTime = 0; ///< Moving average of the logarithm of the run time in microseconds.
--- a/src/place/slot_table.cpp
+++ b/src/place/slot_table.cpp
@@ -3,6 +3,7 @@
 #include "place/slot_table_private.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace teaselward
 {
@@ -51,13 +52,14 @@
     if (!record.connected) {
         return;
     }
-    for (const std::string &kind : d->pools[record.pool].kinds) {
-        d->kinds[d->kindIndex(kind)].slots += info.slots;
-    }
+    d->countSlots(record, true);
     if (record.excluded) {
         d->schedule(index, std::max(now, record.nextProbe));
     }
     d->refresh(index, now);
+    if (d->isIsolated && !d->lanes.contains(info.address)) {
+        d->assignLanes(now);
+    }
 }
 
 void slot_table::leave(const agent_id &agent)
@@ -79,7 +81,7 @@
     }
 }
 
-bool slot_table::isPlaceable(std::string_view kind, mono_time now, bool highPriority)
+bool slot_table::isPlaceable(std::string_view kind, mono_time now, bool highPriority, placement_lane lane)
 {
     d->applyDue(now);
     const auto found = d->kindNames.find(kind);
@@ -90,13 +92,13 @@
     const std::uint32_t reserved = highPriority ? 0 : d->strategy->reservedLevels();
     return std::any_of(pools.begin(),
                        pools.end(),
-                       [this, reserved](std::size_t pool) {
-                           return d->pools[pool].highest() > reserved;
+                       [this, reserved, lane](std::size_t pool) {
+                           return d->isInLane(pool, lane) && d->pools[pool].highest() > reserved;
                        })
-        || d->findProbe(found->second) < d->probes.size();
+        || d->findProbe(found->second, lane) < d->probes.size();
 }
 
-std::optional<agent_id> slot_table::acquire(std::string_view kind, mono_time now, bool highPriority)
+std::optional<agent_id> slot_table::acquire(std::string_view kind, mono_time now, bool highPriority, placement_lane lane)
 {
     d->applyDue(now);
     const auto found = d->kindNames.find(kind);
@@ -104,7 +106,7 @@
         return std::nullopt;
     }
     std::size_t index = 0;
-    const std::size_t probe = d->findProbe(found->second);
+    const std::size_t probe = d->findProbe(found->second, lane);
     if (probe < d->probes.size()) {
         index = d->probes[probe];
         d->probes.erase(d->probes.begin() + static_cast<std::ptrdiff_t>(probe));
@@ -113,7 +115,7 @@
     } else {
         d->candidates.clear();
         for (const std::size_t pool : d->kinds[found->second].pools) {
-            if (d->pools[pool].highest() > (highPriority ? 0 : d->strategy->reservedLevels())) {
+            if (d->isInLane(pool, lane) && d->pools[pool].highest() > (highPriority ? 0 : d->strategy->reservedLevels())) {
                 d->candidates.push_back(&d->pools[pool]);
             }
         }
@@ -156,7 +158,33 @@
 std::size_t slot_table::slots(std::string_view kind) const
 {
     const auto found = d->kindNames.find(kind);
-    return found == d->kindNames.end() ? 0 : d->kinds[found->second].slots;
+    if (found == d->kindNames.end()) {
+        return 0;
+    }
+    const auto &slots = d->kinds[found->second].slots;
+    return std::accumulate(slots.begin(), slots.end(), std::size_t{0});
+}
+
+std::size_t slot_table::slots(std::string_view kind, placement_lane lane) const
+{
+    const auto found = d->kindNames.find(kind);
+    return found == d->kindNames.end() ? 0 : d->kinds[found->second].slots.at(static_cast<std::size_t>(lane));
+}
+
+void slot_table::setIsolated(bool isolated, mono_time now)
+{
+    if (d->isIsolated != isolated) {
+        d->applyDue(now);
+        d->isIsolated = isolated;
+        d->assignLanes(now);
+    }
+}
+
+bool slot_table::hasSuspectLane() const
+{
+    return std::ranges::any_of(d->lanes, [](const auto &item) {
+        return item.second == placement_lane::suspect;
+    });
 }
 
 std::vector<agent_id> slot_table::agents() const
--- a/src/place/slot_table.h
+++ b/src/place/slot_table.h
@@ -5,6 +5,7 @@
 #include "core/agent_info.h"
 #include "core/endpoint_status.h"
 #include "core/task_outcome.h"
+#include "place/placement_lane.h"
 
 #include <chrono>
 #include <cstddef>
@@ -66,17 +67,19 @@
      * @param kind kind of the task
      * @param now current time
      * @param highPriority whether the kind may use the reserve for high-priority kinds
+     * @param lane endpoints that the task may use
      */
-    bool isPlaceable(std::string_view kind, mono_time now, bool highPriority = false);
+    bool isPlaceable(std::string_view kind, mono_time now, bool highPriority = false, placement_lane lane = placement_lane::shared);
 
     /**
      * Chooses an endpoint for a task and uses one of its credits.
      * @param kind kind of the task
      * @param now current time
      * @param highPriority whether the kind may use the reserve for high-priority kinds
+     * @param lane endpoints that the task may use
      * @return the agent of the endpoint; empty if there is no credit
      */
-    std::optional<agent_id> acquire(std::string_view kind, mono_time now, bool highPriority = false);
+    std::optional<agent_id> acquire(std::string_view kind, mono_time now, bool highPriority = false, placement_lane lane = placement_lane::shared);
 
     /**
      * Records the outcome of a task, from which the health of the endpoint is derived.
@@ -95,6 +98,24 @@
      */
     std::size_t slots(std::string_view kind) const;
 
+    /**
+     * Counts the slots of one lane.
+     * @param kind kind of the tasks
+     * @param lane the lane
+     * @return slots of the connected endpoints of the lane that offer the kind, whether free or not
+     */
+    std::size_t slots(std::string_view kind, placement_lane lane) const;
+
+    /**
+     * Divides the endpoints among the lanes, or ends the division. While it lasts, endpoints that join are assigned too.
+     * @param isolated whether the endpoints are divided
+     * @param now current time
+     */
+    void setIsolated(bool isolated, mono_time now);
+
+    /** @return whether the endpoints are divided and some are reserved for suspect tasks, connected or not */
+    bool hasSuspectLane() const;
+
     /** @return agents that are connected and not leaving */
     std::vector<agent_id> agents() const;
 
--- a/src/place/slot_table_private.cpp
+++ b/src/place/slot_table_private.cpp
@@ -14,6 +14,10 @@
 // three of eleven.
 constexpr std::size_t MinEndpointsPerSlow = 3;
 
+// A crashed endpoint is back after a few seconds. It keeps its lane meanwhile; otherwise the lane would take in another endpoint
+// after each crash, and the crashes would reach all endpoints in turn.
+constexpr std::chrono::seconds LaneRetention{10};
+
 } // namespace
 
 endpoint_record *slot_table_private::find(const agent_id &agent)
@@ -48,14 +52,15 @@
     return kinds.size() - 1;
 }
 
-// The number of pools is at most the number of distinct sets of kinds times the failure domains, which stays small.
+// The number of pools is at most the number of distinct sets of kinds times the failure domains times the lanes, which stays small.
 std::size_t slot_table_private::poolIndex(const agent_info &info)
 {
     std::vector<std::string> sorted = info.kinds;
     std::sort(sorted.begin(), sorted.end());
     sorted.erase(std::unique(sorted.begin(), sorted.end()), sorted.end());
+    const placement_lane lane = laneOf(info.address);
     const auto found = std::find_if(pools.begin(), pools.end(), [&](const endpoint_pool &pool) {
-        return pool.failureDomain == info.failureDomain && pool.kinds == sorted;
+        return pool.failureDomain == info.failureDomain && pool.lane == lane && pool.kinds == sorted;
     });
     if (found != pools.end()) {
         return static_cast<std::size_t>(found - pools.begin());
@@ -63,12 +68,60 @@
     endpoint_pool &pool = pools.emplace_back();
     pool.kinds = std::move(sorted);
     pool.failureDomain = info.failureDomain;
+    pool.lane = lane;
     for (const std::string &kind : pool.kinds) {
         kinds[kindIndex(kind)].pools.push_back(pools.size() - 1);
     }
     return pools.size() - 1;
 }
 
+placement_lane slot_table_private::laneOf(std::string_view address) const
+{
+    const auto found = lanes.find(address);
+    return found == lanes.end() ? placement_lane::shared : found->second;
+}
+
+void slot_table_private::assignLanes(mono_time now)
+{
+    lanes.clear();
+    if (isIsolated) {
+        std::vector<std::string> addresses;
+        for (const endpoint_record &record : endpoints) {
+            if (record.connected || (!record.info.address.empty() && !record.info.leaving && now - record.lostAt < LaneRetention)) {
+                addresses.push_back(record.info.address);
+            }
+        }
+        std::ranges::sort(addresses);
+        addresses.erase(std::ranges::unique(addresses).begin(), addresses.end());
+        lanes = planIsolation(addresses);
+    }
+    for (std::size_t index = 0; index < endpoints.size(); ++index) {
+        endpoint_record &record = endpoints[index];
+        if (!record.connected || pools[record.pool].lane == laneOf(record.info.address)) {
+            continue;
+        }
+        pools[record.pool].setLevel(endpoints, index, 0);
+        countSlots(record, false);
+        record.pool = poolIndex(record.info);
+        countSlots(record, true);
+        refresh(index, now);
+    }
+}
+
+bool slot_table_private::isInLane(std::size_t pool, placement_lane lane) const
+{
+    return !isIsolated || pools[pool].lane == lane;
+}
+
+void slot_table_private::countSlots(const endpoint_record &record, bool isAdded)
+{
+    const endpoint_pool &pool = pools[record.pool];
+    for (const std::string &kind : pool.kinds) {
+        std::size_t &slots = kinds[kindIndex(kind)].slots.at(static_cast<std::size_t>(pool.lane));
+        slots = isAdded ? slots + record.info.slots : slots - record.info.slots;
+    }
+}
+
 void slot_table_private::disconnect(std::size_t index)
 {
     endpoint_record &record = endpoints[index];
@@ -76,11 +129,10 @@
         return;
     }
     record.connected = false;
+    record.lostAt = latestTime;
     record.credits = 0;
     record.probing = false;
-    for (const std::string &kind : pools[record.pool].kinds) {
-        kinds[kindIndex(kind)].slots -= record.info.slots;
-    }
+    countSlots(record, false);
     refresh(index, latestTime);
 }
 
@@ -127,13 +179,14 @@
     due.emplace(when, index);
 }
 
-std::size_t slot_table_private::findProbe(std::size_t kind) const
+std::size_t slot_table_private::findProbe(std::size_t kind, placement_lane lane) const
 {
     for (std::size_t i = 0; i < probes.size(); ++i) {
         const endpoint_record &record = endpoints[probes[i]];
         const auto &offered = kinds[kind].pools;
         const bool offers = std::find(offered.begin(), offered.end(), record.pool) != offered.end();
-        if (record.connected && offers && record.backoffUntil <= latestTime && strategy->level(record) > strategy->reservedLevels()) {
+        if (record.connected && offers && isInLane(record.pool, lane) && record.backoffUntil <= latestTime
+            && strategy->level(record) > strategy->reservedLevels()) {
             return i;
         }
     }
--- a/src/place/slot_table_private.h
+++ b/src/place/slot_table_private.h
@@ -5,6 +5,7 @@
 #include "place/endpoint_pool.h"
 #include "place/endpoint_record.h"
 #include "place/health_monitor.h"
+#include "place/isolation_plan.h"
 #include "place/kind_record.h"
 #include "place/placement_strategies.h"
 
@@ -43,9 +44,21 @@
     /** Finds or creates the index of a kind. */
     std::size_t kindIndex(std::string_view kind);
 
-    /** Finds or creates the pool of the endpoint's kinds and failure domain. */
+    /** Finds or creates the pool of the endpoint's kinds, failure domain and lane. */
     std::size_t poolIndex(const agent_info &info);
 
+    /** @return lane of an address; shared unless the endpoints are divided */
+    placement_lane laneOf(std::string_view address) const;
+
+    /** Divides the known endpoints among the lanes and moves them to the pools of their lanes. */
+    void assignLanes(mono_time now);
+
+    /** @return whether a pool belongs to a lane */
+    bool isInLane(std::size_t pool, placement_lane lane) const;
+
+    /** Adds or removes the slots of an endpoint in the counts of its kinds and its lane. */
+    void countSlots(const endpoint_record &record, bool isAdded);
+
     /** Excludes an endpoint from placement and from the number of slots. */
     void disconnect(std::size_t index);
 
@@ -59,10 +72,10 @@
     void schedule(std::size_t index, mono_time when);
 
     /**
-     * Finds an excluded endpoint that is due for a probe. Returns its position in probes, or the number of probes if there is
-     * none.
+     * Finds an excluded endpoint of a lane that is due for a probe. Returns its position in probes, or the number of probes if
+     * there is none.
      */
-    std::size_t findProbe(std::size_t kind) const;
+    std::size_t findProbe(std::size_t kind, placement_lane lane) const;
 
     /** Drops the oldest disconnected endpoints, so that restarts do not use up the memory. */
     void dropLost();
@@ -87,6 +100,8 @@
     std::vector<std::size_t> probes; ///< Excluded endpoints that are due for a probe.
     std::priority_queue<due_entry, std::vector<due_entry>, std::greater<>> due; ///< Scheduled evaluations, earliest first.
     mono_time latestTime{}; ///< Latest time passed by a caller.
+    bool isIsolated = false; ///< Whether the endpoints are divided among the lanes.
+    std::map<std::string, placement_lane, std::less<>> lanes; ///< By address; empty unless the endpoints are divided.
 };
 
 } // namespace teaselward::detail
