Keep the crashes of endpoints under each task

Runs that were lost with a crashed endpoint look like any other loss. The history tells a task that causes the crashes, which come at the same age of each run, from one that was lost by chance.

--- a/src/job/job_manager.cpp
+++ b/src/job/job_manager.cpp
@@ -121,7 +121,7 @@
     created->tasks.reserve(job.payloads.size());
     for (std::string &payload : job.payloads) {
         created->bytes += sizeof(task_record) + payload.size();
-        created->tasks.push_back({.state = task_state::queued, .placements = 0, .failures = 0, .payload = std::move(payload), .result = {}});
+        created->tasks.push_back({.state = task_state::queued, .placements = 0, .failures = 0, .crashes = {}, .payload = std::move(payload), .result = {}});
     }
     m_table.keys().add(job.team, job.kind, job.key, sequence);
     job_record &record = m_table.add(std::move(created));
--- a/src/job/task_record.h
+++ b/src/job/task_record.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "job/crash_history.h"
 #include "job/task_state.h"
 
 #include <cstdint>
@@ -13,6 +14,7 @@
     task_state state = task_state::queued;
     std::uint32_t placements = 0; ///< Number of times that the task was sent to an agent.
     std::uint32_t failures = 0; ///< Number of failed runs.
+    crash_history crashes{}; ///< Endpoints that crashed while they ran the task.
     std::string payload; ///< Released once the task cannot be placed again.
     std::string result; ///< Set if the task succeeded.
 };
