Give up tasks that crash endpoints and isolate their kinds

Cause: a run lost with its worker was placed elsewhere at once, up to 12 times, and crashed the next worker 12 ms after each start.

A task under which two endpoints crashed at the same age of its run, or three at any age, is given up, and its job fails. Its kind is quarantined at every entry: its tasks use only the isolated endpoints, suspect tasks only those reserved for them, and a job that finds no credit there is refused at once as not run. The kind is released after 64 successes and 2 s without a crash, twice as many after each relapse. An endpoint that has crashed gets no task from the moment of the report; the first lost task used to be placed there again and waited 1300 ms for its revocation.

--- a/src/job/entry_context.h
+++ b/src/job/entry_context.h
@@ -10,6 +10,8 @@
 #include "job/entry_core_settings.h"
 #include "job/job_random.h"
 #include "log/logger.h"
+#include "place/kind_quarantine.h"
+#include "place/placement_lane.h"
 #include "place/slot_table.h"
 #include "share/task_queue.h"
 
@@ -71,11 +73,29 @@
         return found != rules->kinds.end() && found->second.highPriority;
     }
 
+    /**
+     * Returns the endpoints that a task may use. If no shared endpoint is left, the other kinds use the isolated ones too.
+     * @param kind kind of the task
+     * @param isSuspect whether an endpoint has crashed under the task
+     */
+    placement_lane lane(std::string_view kind, bool isSuspect = false) const
+    {
+        if (quarantine.isEmpty()) {
+            return placement_lane::shared;
+        }
+        const std::string_view offered = offeredName(kind);
+        if (!quarantine.contains(kind)) {
+            return slots.slots(offered, placement_lane::shared) > 0 ? placement_lane::shared : placement_lane::isolated;
+        }
+        return isSuspect && slots.hasSuspectLane() ? placement_lane::suspect : placement_lane::isolated;
+    }
+
     entry_core_settings settings;
     mono_time start; ///< Issue times of tickets are relative to it.
     logger &log;
     task_queue queue;
     slot_table slots;
+    kind_quarantine quarantine;
     std::shared_ptr<const rule_set> rules; ///< Null until the first configuration is applied.
     std::map<std::string, std::string, std::less<>> services; ///< Service of each kind that is placed by service.
     std::vector<task_id> obsolete; ///< Placed tasks of restartable jobs that have been answered; their runs are to be stopped.
--- a/src/job/entry_core_events.cpp
+++ b/src/job/entry_core_events.cpp
@@ -110,6 +110,12 @@
     }
     m_agents.leave(event.agent);
     m_context.slots.leave(event.agent);
+    for (const std::string &kind : m_context.quarantine.recordCrash(event.suspects, m_context.now)) {
+        if (m_context.log.isEnabled()) {
+            m_context.log.write(log_part::place, concat("Quarantined a kind whose tasks crash endpoints. kind=", kind));
+        }
+    }
+    m_context.slots.setIsolated(!m_context.quarantine.isEmpty(), m_context.now);
 }
 
 void entry_core_private::onCreditsGranted(const credits_granted &event)
--- a/src/job/job_admission.cpp
+++ b/src/job/job_admission.cpp
@@ -58,7 +58,12 @@
     if (!m_table.makeRoom(m_context.now)) {
         return {refusal(reason::overloaded, CapacityRetryDelay), {}};
     }
-    const std::size_t slots = m_context.slots.slots(m_context.offeredName(job.kind));
+    const std::string_view offered = m_context.offeredName(job.kind);
+    if (m_context.quarantine.contains(job.kind) && !m_context.slots.isPlaceable(offered, m_context.now, rule.highPriority, m_context.lane(job.kind))) {
+        // The isolated endpoints are away or busy, and each task that waits for them is likely to miss its deadline.
+        return {refusal(reason::kindFailing, QuarantineRetryDelay), {}};
+    }
+    const std::size_t slots = m_context.slots.slots(offered, m_context.lane(job.kind));
     if (slots == 0) {
         return {refusal(reason::noEndpoint, CapacityRetryDelay), {}};
     }
--- a/src/job/job_admission.h
+++ b/src/job/job_admission.h
@@ -18,6 +18,9 @@
     /** Delay suggested to callers that are refused for lack of memory or endpoints. Both are freed continuously, so it is short. */
     static constexpr std::chrono::milliseconds CapacityRetryDelay{1000};
 
+    /** Delay suggested to callers whose kind is quarantined. A crashed endpoint is back after a few seconds. */
+    static constexpr std::chrono::milliseconds QuarantineRetryDelay{3000};
+
     /**
      * Creates the admission control.
      * @param context state shared by the parts of the entry
--- a/src/job/task_placer.cpp
+++ b/src/job/task_placer.cpp
@@ -21,15 +21,16 @@
     : m_context(context)
     , m_jobs(jobs)
     , m_returned(context, jobs)
+    , m_suspects(context, jobs)
     , m_placeable([this](std::string_view kind) {
-        return m_context.slots.isPlaceable(m_context.offeredName(kind), m_context.now, m_context.highPriority(kind));
+        return m_context.slots.isPlaceable(m_context.offeredName(kind), m_context.now, m_context.highPriority(kind), m_context.lane(kind));
     })
 {
 }
 
 std::size_t task_placer::placeAll()
 {
-    std::size_t placed = 0;
+    std::size_t placed = placeSuspects();
     while (m_context.queue.size() > 0) {
         std::optional<queued_task> task = m_context.queue.pop(m_placeable, m_context.now);
         if (!task) {
@@ -40,7 +41,13 @@
             m_context.queue.finish(*task, {.verdict = task_verdict::notStarted, .why = reason::none, .body = {}, .runTime = {}}, m_context.now);
             continue;
         }
-        const std::optional<agent_id> agent = m_context.slots.acquire(m_context.offeredName(task->kind), m_context.now, m_context.highPriority(task->kind));
+        if (isQuarantinedSuspect(*task, *job)) {
+            --job->queued;
+            job->tasks.at(task->id.index).state = task_state::delayed;
+            m_suspects.add(*std::move(task));
+            continue;
+        }
+        const std::optional<agent_id> agent = acquire(*task, false);
         if (!agent) {
             m_context.queue.pushFront(*std::move(task));
             break;
@@ -51,6 +58,34 @@
     return placed;
 }
 
+std::size_t task_placer::placeSuspects()
+{
+    std::size_t placed = 0;
+    while (std::optional<queued_task> task = m_suspects.take()) {
+        const std::optional<agent_id> agent = acquire(*task, true);
+        if (!agent) {
+            m_suspects.add(*std::move(task));
+            break;
+        }
+        job_record &job = *m_jobs.findRunning(task->id.ticket);
+        ++job.queued;
+        start(*std::move(task), *agent, job);
+        ++placed;
+    }
+    return placed;
+}
+
+// Checks whether an endpoint has crashed under a task whose kind is quarantined.
+bool task_placer::isQuarantinedSuspect(const queued_task &task, const job_record &job) const
+{
+    return m_context.quarantine.contains(task.kind) && job.tasks.at(task.id.index).crashes.isSuspect();
+}
+
+std::optional<agent_id> task_placer::acquire(const queued_task &task, bool isSuspect)
+{
+    return m_context.slots.acquire(m_context.offeredName(task.kind), m_context.now, m_context.highPriority(task.kind), m_context.lane(task.kind, isSuspect));
+}
+
 // The placement is recorded before the start is sent, so that an answer always finds it.
 void task_placer::start(queued_task task, const agent_id &agent, job_record &job)
 {
@@ -75,6 +110,7 @@
     action.order.restartable = job.restartable;
     action.order.estimate = job.estimate;
     action.order.highPriority = m_context.highPriority(task.kind);
+    action.order.crashAge = record.crashes.lastAge();
     if (task.due) {
         action.order.slack = std::chrono::floor<std::chrono::milliseconds>(*task.due - m_context.now);
     }
@@ -112,6 +148,12 @@
         m_returned.add(std::move(placed.task), outcome, *job);
         return;
     }
+    if (job != nullptr && job->restartable && isGivenUp(id, outcome, job->tasks.at(id.index))) {
+        job->hasRun = true;
+        m_context.queue.finish(placed.task, outcome, m_context.now);
+        m_jobs.fail(*job, reason::taskFailed);
+        return;
+    }
     if (job != nullptr && job->restartable && mayRestart(outcome, job->tasks.at(id.index), *job)) {
         job->hasRun = true;
         m_returned.add(std::move(placed.task), outcome, *job);
@@ -122,6 +164,7 @@
         return;
     }
     if (outcome.verdict == task_verdict::succeeded) {
+        recordSuccess(placed.task.kind);
         m_jobs.finishTask(*job, id.index, std::move(outcome.body));
     } else {
         // An agent that was fenced for this ticket refuses its starts with outcomeUnknown, since another entry has answered the job.
@@ -129,6 +172,40 @@
     }
 }
 
+// Records the crash of an endpoint under a task. Returns whether the task has caused it and must not be started again.
+bool task_placer::isGivenUp(const task_id &id, const task_outcome &outcome, task_record &record)
+{
+    if (!outcome.endpointCrashed) {
+        return false;
+    }
+    record.crashes.add(std::chrono::duration_cast<std::chrono::milliseconds>(outcome.runTime));
+    if (!record.crashes.isExhausted()) {
+        return false;
+    }
+    if (m_context.log.isEnabled()) {
+        m_context.log.write(log_part::place,
+                            concat("Gave up a task under which endpoints crashed. ",
+                                   taskLogFields(id),
+                                   " placements=",
+                                   record.placements,
+                                   " crash_age_ms=",
+                                   record.crashes.lastAge()->count()));
+    }
+    return true;
+}
+
+// A quarantined kind is released once enough of its tasks have succeeded.
+void task_placer::recordSuccess(std::string_view kind)
+{
+    if (!m_context.quarantine.recordSuccess(kind, m_context.now)) {
+        return;
+    }
+    if (m_context.log.isEnabled()) {
+        m_context.log.write(log_part::place, concat("Released a kind from quarantine. kind=", kind));
+    }
+    m_context.slots.setIsolated(!m_context.quarantine.isEmpty(), m_context.now);
+}
+
 // Returns whether a restartable task is placed again after a run without a result. Counts a failed run.
 bool task_placer::mayRestart(const task_outcome &outcome, task_record &record, const job_record &job) const
 {
--- a/src/job/task_placer.h
+++ b/src/job/task_placer.h
@@ -10,12 +10,14 @@
 #include "job/job_manager.h"
 #include "job/placement_table.h"
 #include "job/returned_tasks.h"
+#include "job/suspect_tasks.h"
 #include "job/timer_queue.h"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
 
 namespace teaselward
@@ -98,9 +100,14 @@
     std::size_t outstanding() const;
 
 private:
+    std::size_t placeSuspects();
+    bool isQuarantinedSuspect(const queued_task &task, const job_record &job) const;
+    std::optional<agent_id> acquire(const queued_task &task, bool isSuspect);
     void start(queued_task task, const agent_id &agent, job_record &job);
     void resolve(const task_id &id, task_outcome outcome, std::int32_t credits);
     bool mayRestart(const task_outcome &outcome, task_record &record, const job_record &job) const;
+    void recordSuccess(std::string_view kind);
+    bool isGivenUp(const task_id &id, const task_outcome &outcome, task_record &record);
     void markAmbiguous(placement &placed);
     void scheduleRevocation(placement &placed, std::chrono::milliseconds delay);
     void sendRevocation(const task_id &id);
@@ -108,6 +115,7 @@
     entry_context &m_context;
     job_manager &m_jobs;
     returned_tasks m_returned;
+    suspect_tasks m_suspects;
     placement_table m_placements;
     timer_queue<task_id> m_revocations; ///< Tasks whose start is to be revoked.
     std::function<bool(std::string_view)> m_placeable; ///< Passed to the queue for each pop; stored to avoid constructing it each time.
--- a/tests/job/restartable_jobs_test.cpp
+++ b/tests/job/restartable_jobs_test.cpp
@@ -1,4 +1,4 @@
-#include "job/entry_fixture.h"
+#include "job/restartable_entry.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -7,49 +7,6 @@
 using namespace teaselward;
 using namespace std::chrono_literals;
 
-namespace
-{
-
-/** Entry with a restartable kind whose jobs have a response time objective. */
-struct restartable_entry : entry_fixture {
-    restartable_entry()
-    {
-        auto rules = std::make_shared<rule_set>();
-        rules->offset = 2;
-        kind_rule rule;
-        rule.service = "register";
-        rule.placedByService = true;
-        rule.restartable = true;
-        rule.attempts = 2;
-        rule.stretch = 1.6;
-        rule.target = 60ms;
-        rules->kinds["check"] = rule;
-        handle(rules_applied{.rules = rules});
-    }
-
-    void joinWorker(std::uint64_t id, std::uint32_t credits = 8, const std::string &address = "10.1.0.1:1")
-    {
-        agent_info info = agentInfo(id, address);
-        info.kinds = {"register"};
-        handle(agent_joined{.info = info, .credits = credits, .lease = 600ms});
-    }
-
-    request_id submitKeyed(const std::string &key, std::size_t tasks = 1, std::chrono::milliseconds limit = 5s)
-    {
-        const request_id request = nextRequest();
-        job_request job = jobFor({}, tasks);
-        job.team.clear();
-        job.key = key;
-        job.timeLimit = limit;
-        job.estimate = 100ms;
-        job.needs = {.cpuMillis = 3000, .memoryMb = 64};
-        handle(keyed_job_submitted{.request = request, .job = job});
-        return request;
-    }
-};
-
-} // namespace
-
 BOOST_FIXTURE_TEST_SUITE(restartable_jobs_test, restartable_entry)
 
 // Guards against a second job when a caller resubmits with the same key.
