Deliver the report of a crash in the simulations

The table of agent actions in the simulated cluster lacked the new action, so the tests did not compile. Each simulation that models entries passes the report on like the announcement of a drain.

--- a/tests/job/core_pair.h
+++ b/tests/job/core_pair.h
@@ -63,6 +63,8 @@
                 toEntry(task_revoked{.agent = {7}, .held = revoked->held});
             } else if (const auto *grant = std::get_if<grant_credits>(&action); grant != nullptr) {
                 toEntry(credits_granted{.agent = {7}, .delta = grant->delta});
+            } else if (const auto *crash = std::get_if<report_crash>(&action); crash != nullptr) {
+                toEntry(endpoint_crashed{.agent = {7}, .suspects = crash->suspects});
             } else if (const auto *call = std::get_if<call_endpoint>(&action); call != nullptr) {
                 calls.push_back(*call);
                 ++started[call->id.index];
--- a/tests/job/fault_simulation.h
+++ b/tests/job/fault_simulation.h
@@ -125,6 +125,7 @@
     void deliver(std::size_t agent, const answer_fence &action);
     void deliver(std::size_t agent, const call_endpoint &action);
     void deliver(std::size_t agent, const grant_credits &action);
+    void deliver(std::size_t agent, const report_crash &action);
 
     /** Ignores actions that need no message in the simulation. */
     template<typename Action>
--- a/tests/job/fault_simulation_messages.cpp
+++ b/tests/job/fault_simulation_messages.cpp
@@ -229,6 +229,15 @@
     });
 }
 
+void fault_simulation::deliver(std::size_t agent, const report_crash &action)
+{
+    for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+        send(entry, agent, [this, entry, id = m_entries[entry].id, event = endpoint_crashed{{m_agents[agent].id}, action.suspects}] {
+            toEntry(entry, id, event);
+        });
+    }
+}
+
 // Runs a task at an endpoint. The run is counted even if its outcome is lost or unknown.
 void fault_simulation::runOnEndpoint(std::size_t agent, const call_endpoint &call)
 {
--- a/tests/scenario/simulated_cluster.h
+++ b/tests/scenario/simulated_cluster.h
@@ -106,6 +106,7 @@
     void onEndSessions(std::size_t agent, agent_action &action);
     void onGrantCredits(std::size_t agent, agent_action &action);
     void onAnnounceLeaving(std::size_t agent, agent_action &action);
+    void onReportCrash(std::size_t agent, agent_action &action);
     void onFinishAgentDrain(std::size_t agent, agent_action &action);
 
     session &sessionOf(std::size_t entry, std::size_t agent);
--- a/tests/scenario/simulated_cluster_agent_actions.cpp
+++ b/tests/scenario/simulated_cluster_agent_actions.cpp
@@ -32,9 +32,10 @@
     &simulated_cluster::onEndSessions,
     &simulated_cluster::onGrantCredits,
     &simulated_cluster::onAnnounceLeaving,
+    &simulated_cluster::onReportCrash,
     &simulated_cluster::onFinishAgentDrain,
 };
-static_assert(std::variant_size_v<agent_action> == 9);
+static_assert(std::variant_size_v<agent_action> == 10);
 
 void simulated_cluster::onAnswerStart(std::size_t agent, agent_action &action)
 {
@@ -149,6 +150,16 @@
     }
 }
 
+void simulated_cluster::onReportCrash(std::size_t agent, agent_action &action)
+{
+    const auto &report = std::get<report_crash>(action);
+    for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+        sendMessage(entry, agent, [this, entry, agent, suspects = report.suspects] {
+            m_entries[entry]->deliver(endpoint_crashed{m_agentInfos[agent].id, suspects});
+        });
+    }
+}
+
 void simulated_cluster::onFinishAgentDrain(std::size_t agent, agent_action & /*action*/)
 {
     m_agentDrained[agent] = true;
