Mark the runs that were lost in a crash of their endpoint

A run that ended because its endpoint crashed looked like any other lost run. A refused connection or an answer of another instance shows that the instance has ended, so the runs that are known to have started are marked; after silence they are not, because the endpoint may only be slow. A run whose own start was refused stays interrupted without the mark: the HTTP client may have sent an earlier copy of the request, so it is neither certain that it started nor that it did not. The first end of a crash names these runs, so that they are not suspected.

Without the marks run_supervisor_test fails in three cases: a refused start, list or stop, and a new instance.

--- a/src/agent/run/run_supervisor.cpp
+++ b/src/agent/run/run_supervisor.cpp
@@ -73,7 +73,7 @@
 {
     const auto found = d->runs.find(id);
     if (result == call_result::endpointRestarted || result == call_result::unreachable) {
-        d->markLost(result == call_result::endpointRestarted ? "another instance answered" : "the connection was refused", now);
+        d->markCrashed(result, now);
         return;
     }
     if (result != call_result::unanswered) {
@@ -117,7 +117,7 @@
 void run_supervisor::stopAnswered(const run_id &id, call_result result, mono_time now)
 {
     if (result == call_result::endpointRestarted || result == call_result::unreachable) {
-        d->markLost(result == call_result::endpointRestarted ? "another instance answered" : "the connection was refused", now);
+        d->markCrashed(result, now);
         return;
     }
     if (result != call_result::unanswered) {
@@ -147,7 +147,7 @@
     }
     const bool isOtherInstance = lists.endpointStart && d->settings.endpointStart.count() > 0 && *lists.endpointStart != d->settings.endpointStart;
     if (isOtherInstance || lists.result == call_result::endpointRestarted || lists.result == call_result::unreachable) {
-        d->markLost(lists.result == call_result::unreachable ? "the connection was refused" : "another instance answered", now);
+        d->markCrashed(lists.result, now);
         return;
     }
     if (lists.result != call_result::accepted) {
--- a/src/agent/run/run_supervisor_private.cpp
+++ b/src/agent/run/run_supervisor_private.cpp
@@ -217,6 +217,7 @@
     outcome.verdict = verdict;
     outcome.why = why;
     outcome.runTime = std::chrono::duration_cast<std::chrono::microseconds>(now - found->second.startedAt);
+    outcome.endpointCrashed = hasCrashed && found->second.hasStarted;
     if (verdict != task_verdict::succeeded) {
         logRun("A run ended without a result.", found->second, reasonText(why));
     }
@@ -224,7 +225,15 @@
     runs.erase(found);
 }
 
-// All runs of an instance end with it.
+// The instance has ended. A silent endpoint is not treated as crashed, because it may only be slow.
+void run_supervisor_private::markCrashed(call_result result, mono_time now)
+{
+    hasCrashed = true;
+    markLost(result == call_result::unreachable ? "the connection was refused" : "another instance answered", now);
+}
+
+// All runs of an instance end with it, the started ones first. A run whose start was refused with the connection is not reported
+// as not started, because the HTTP client repeats a request whose connection was closed.
 void run_supervisor_private::markLost(std::string_view why, mono_time now)
 {
     if (lost) {
@@ -239,9 +248,20 @@
     for (const auto &[id, run] : runs) {
         all.push_back(id);
     }
+    const auto unstarted = std::ranges::partition(all, [this](const run_id &id) {
+        return runs.at(id).hasStarted;
+    });
+    std::vector<task_id> unstartedTasks;
+    for (const run_id &id : unstarted) {
+        unstartedTasks.push_back(runs.at(id).order.id);
+    }
+    const std::size_t first = ends.size();
     for (const run_id &id : all) {
         finish(id, task_verdict::interrupted, reason::outcomeUnknown, now);
     }
+    if (hasCrashed && first < ends.size()) {
+        ends[first].unstarted = std::move(unstartedTasks);
+    }
 }
 
 // An earlier incarnation of the agent has used a higher token, for example because the wall clock was set back.
--- a/tests/agent/run/run_supervisor_test.cpp
+++ b/tests/agent/run/run_supervisor_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -376,7 +377,10 @@
     BOOST_TEST(endpoint.supervisor.isLost());
     BOOST_TEST((endpoint.now >= lastLease + 13ms)); // A clock that is 2 % slow lengthens the lease.
     BOOST_TEST((endpoint.now <= silentSince + 1300ms));
-    BOOST_TEST((endpoint.outcome()->verdict == task_verdict::interrupted));
+    const auto outcome = endpoint.outcome();
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((outcome->verdict == task_verdict::interrupted));
+    BOOST_TEST(!outcome->endpointCrashed); // It may still be running.
 }
 
 // Guards against waiting for runs after the endpoint has restarted with the same id.
@@ -394,7 +398,61 @@
     other.endpointStart = 99ms;
     endpoint.supervisor.listed(other, endpoint.now);
     BOOST_TEST(endpoint.supervisor.isLost());
-    BOOST_TEST((endpoint.outcome()->verdict == task_verdict::interrupted));
+    const auto outcome = endpoint.outcome();
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((outcome->verdict == task_verdict::interrupted));
+    BOOST_TEST(outcome->endpointCrashed);
+}
+
+// Guards against a crash that looks like any other loss, so that the next endpoint crashes under the same task.
+BOOST_AUTO_TEST_CASE(aCrashIsReportedWithTheRunsThatHadStarted)
+{
+    for (const call_result result : {call_result::unreachable, call_result::endpointRestarted}) {
+        supervised_endpoint endpoint;
+        endpoint.answerLists();
+        endpoint.order(0);
+        endpoint.order(1);
+        endpoint.order(2);
+        endpoint.supervisor.startAnswered(run(1), call_result::accepted, endpoint.now);
+        endpoint.supervisor.startAnswered(run(2), call_result::unanswered, endpoint.now);
+        endpoint.now += 12ms;
+        endpoint.supervisor.startAnswered(run(0), result, endpoint.now);
+        const std::vector<call_finished> ends = endpoint.supervisor.takeEnds();
+        BOOST_REQUIRE(ends.size() == 3U);
+        for (const call_finished &end : ends) {
+            BOOST_TEST((end.outcome.verdict == task_verdict::interrupted));
+            BOOST_TEST((end.outcome.why == reason::outcomeUnknown));
+            BOOST_TEST(end.outcome.endpointCrashed == (end.id.index == 1U));
+        }
+        BOOST_TEST(ends[0].id.index == 1U);
+        BOOST_TEST((ends[0].outcome.runTime == 12ms));
+        BOOST_TEST(ends[0].unstarted.size() == 2U);
+    }
+}
+
+// Guards against a crash that only the list call or the answer to a stop shows.
+BOOST_AUTO_TEST_CASE(everyCallThatIsRefusedShowsTheCrash)
+{
+    const auto refuseList = [](supervised_endpoint &endpoint) {
+        list_runs_result refused;
+        refused.number = endpoint.lists.back().number;
+        refused.result = call_result::unreachable;
+        endpoint.supervisor.listed(refused, endpoint.now);
+    };
+    const auto refuseStop = [](supervised_endpoint &endpoint) {
+        endpoint.supervisor.stopAnswered(run(), call_result::unreachable, endpoint.now);
+    };
+    for (const std::function<void(supervised_endpoint &)> &refuse : {std::function<void(supervised_endpoint &)>(refuseList), {refuseStop}}) {
+        supervised_endpoint endpoint;
+        endpoint.answerLists();
+        endpoint.order();
+        endpoint.supervisor.startAnswered(run(), call_result::accepted, endpoint.now);
+        endpoint.collect();
+        refuse(endpoint);
+        const auto outcome = endpoint.outcome();
+        BOOST_REQUIRE(outcome.has_value());
+        BOOST_TEST(outcome->endpointCrashed);
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
