Report a crash of the endpoint before the lost starts are answered

An entry learned of a crash only by the answers to the lost starts, and placed the first retry at the agent that had just lost its endpoint. The agent now reports the kinds of all started runs once, before any answer, and says which of them had a task under which another endpoint crashed at the same age. It then refuses all starts like a draining agent, including those it holds. The end of a draining endpoint is planned and no crash.

--- a/src/agent/agent_core_held.cpp
+++ b/src/agent/agent_core_held.cpp
@@ -21,7 +21,10 @@
     }
     m_running[order.id] = {.calls = {{.call = call, .from = from, .session = m_sessions.current(from)}},
                            .job = order.key,
+                           .kind = order.kind,
                            .needs = order.needs,
+                           .startedAt = m_now,
+                           .crashAge = order.crashAge,
                            .highPriority = order.highPriority,
                            .restartable = order.restartable,
                            .isStopping = false};
--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -122,7 +122,7 @@
     } else if (m_ledger.isFenced(id.ticket)) {
         // This reason tells the entry that its ticket was taken over, so that it abandons the job.
         refuse(reason::outcomeUnknown, UnusedCredit);
-    } else if (m_drainEnd) {
+    } else if (m_drainEnd || m_hasCrashed) {
         refuse(reason::draining, 0);
     } else if (!m_ledger.hasRoom() || !isConnected || !m_resources.canEverFit(event.order.needs)) {
         // An unused credit is returned unless its session has ended.
@@ -252,13 +252,24 @@
     }
 }
 
-// Records the outcome, frees the slot and answers all waiting requests. The first answer carries the credits.
+// Records the outcome, frees the slot and answers all waiting requests. The first answer carries the credits. The entries must
+// learn of a crash before the answers, or they would place the tasks here again.
 void agent_core_private::onCallFinished(const call_finished &event)
 {
     const auto found = m_running.find(event.id);
     if (found == m_running.end()) {
         return;
     }
+    if (event.outcome.endpointCrashed && !m_hasCrashed) {
+        if (m_drainEnd) {
+            // The end of the endpoint was announced, so it is no crash.
+            call_finished planned = event;
+            planned.outcome.endpointCrashed = false;
+            onCallFinished(planned);
+            return;
+        }
+        reportCrash(event);
+    }
     const std::vector<waiting_call> calls = std::move(found->second.calls);
     const bool breakerOpened = found->second.restartable && m_breaker.record(found->second.job, event.outcome, m_now);
     m_resources.release(found->second.needs);
--- a/src/agent/agent_core_private.h
+++ b/src/agent/agent_core_private.h
@@ -3,6 +3,7 @@
 #include "agent/agent_action.h"
 #include "agent/agent_core_settings.h"
 #include "agent/agent_event.h"
+#include "agent/crash_suspects.h"
 #include "agent/endpoint_breaker.h"
 #include "agent/endpoint_resources.h"
 #include "agent/held_start_queue.h"
@@ -57,6 +58,8 @@
     void run(const call_id &call, const entry_id &from, const start_order &order);
     bool fits(const start_order &order);
     void onBreakerOpened();
+    void reportCrash(const call_finished &first);
+    void logCrash(const crash_suspects &suspects, const std::vector<crash_suspect> &kinds);
     void startHeld();
     std::optional<held_start> takeHeld();
     void refuseHeld(const held_start &start, reason why);
@@ -80,6 +83,7 @@
     std::chrono::milliseconds m_sessionLease; ///< Zero if pauses are not detected.
     std::optional<mono_time> m_drainEnd; ///< Set once a drain has started.
     bool m_isDrained = false;
+    bool m_hasCrashed = false; ///< The endpoint has crashed, so all further starts are refused.
     mono_time m_now{}; ///< Time of the event being handled.
     std::vector<agent_action> *m_actions = nullptr; ///< Receives the actions of the event being handled.
 };
--- a/src/agent/running_task.h
+++ b/src/agent/running_task.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "agent/waiting_call.h"
+#include "base/clock.h"
 #include "core/task_resources.h"
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,7 +16,10 @@
 struct running_task {
     std::vector<waiting_call> calls; ///< Start requests that wait for the outcome; the first one caused the run.
     std::string job; ///< Job identifier chosen by the caller; may be empty.
+    std::string kind;
     task_resources needs;
+    mono_time startedAt{};
+    std::optional<std::chrono::milliseconds> crashAge{}; ///< Age of the last run of the task that was lost with a crashed endpoint.
     bool highPriority = false; ///< Counted in the reserve for high-priority kinds.
     bool restartable = false; ///< Stopped when the connection to its home entry is lost.
     bool isStopping = false;
--- a/tests/agent/agent_core_test.cpp
+++ b/tests/agent/agent_core_test.cpp
@@ -29,6 +29,14 @@
     return {.verdict = verdict, .why = reason::none, .body = body, .runTime = 5ms};
 }
 
+task_outcome lostInCrash()
+{
+    task_outcome lost = outcome(task_verdict::interrupted);
+    lost.why = reason::outcomeUnknown;
+    lost.endpointCrashed = true;
+    return lost;
+}
+
 agent_core_settings settingsWith(std::uint32_t slots, std::uint32_t maxRecords = 1000)
 {
     agent_core_settings settings;
@@ -57,6 +65,17 @@
         handle(entry_joined{.info = {.id = entry, .address = "10.0.0.1:1", .failureDomain = "a"}});
     }
 
+    call_id startKind(const task_id &id, const std::string &kind, std::optional<std::chrono::milliseconds> crashAge = {})
+    {
+        start_order order;
+        order.id = id;
+        order.kind = kind;
+        order.timeLimit = 10s;
+        order.crashAge = crashAge;
+        handle(start_received{.call = {++calls}, .from = Entry, .order = order});
+        return {calls};
+    }
+
     call_id start(const task_id &id, const entry_id &from = Entry, std::optional<std::chrono::milliseconds> slack = {})
     {
         start_order order;
@@ -476,6 +495,107 @@
     BOOST_TEST(agent.count<call_endpoint>() == 1U);
 }
 
+// Guards against an entry that places the task of a crashed endpoint there again, because the answer arrives before the report,
+// and against a crash that counts once for each of its runs.
+BOOST_AUTO_TEST_CASE(aCrashIsReportedOnceBeforeTheAnswers)
+{
+    agent_fixture agent;
+    agent.startKind(task(0), "lookup");
+    agent.startKind(task(1), "check");
+    agent.startKind(task(2), "lookup");
+    agent.finish(task(0), lostInCrash());
+    BOOST_REQUIRE(agent.actions.size() >= 2U);
+    BOOST_REQUIRE(std::holds_alternative<report_crash>(agent.actions.front()));
+    const std::vector<crash_suspect> suspects = agent.get<report_crash>().suspects;
+    BOOST_REQUIRE(suspects.size() == 2U);
+    BOOST_TEST(suspects[0].kind == "check");
+    BOOST_TEST(suspects[1].kind == "lookup");
+    BOOST_TEST(!suspects[0].isRepeated);
+    BOOST_TEST(!suspects[1].isRepeated);
+    BOOST_TEST(agent.get<answer_start>().outcome.endpointCrashed);
+    agent.finish(task(1), lostInCrash());
+    BOOST_TEST(agent.count<report_crash>() == 0U);
+    BOOST_TEST(agent.get<answer_start>().outcome.endpointCrashed);
+}
+
+// Guards against a task that crashes one endpoint after the other unnoticed, and against the tasks beside it that are blamed.
+BOOST_AUTO_TEST_CASE(aKindThatCrashesAnotherEndpointAtTheSameAgeIsRepeated)
+{
+    agent_fixture agent;
+    agent.startKind(task(0), "lookup", 12ms);
+    agent.now += 500ms;
+    agent.startKind(task(1), "check", 12ms);
+    agent.now += 14ms;
+    agent.finish(task(1), lostInCrash());
+    const std::vector<crash_suspect> suspects = agent.get<report_crash>().suspects;
+    BOOST_REQUIRE(suspects.size() == 2U);
+    BOOST_TEST(suspects[0].isRepeated);
+    BOOST_TEST(!suspects[1].isRepeated);
+}
+
+// Guards against blaming a task whose start reached the endpoint only after the crash. Its age is then close to that of any
+// earlier crash of a task that crashes its endpoint within milliseconds.
+BOOST_AUTO_TEST_CASE(aTaskThatHasNotStartedIsNoSuspect)
+{
+    agent_fixture agent;
+    agent.startKind(task(0), "lookup");
+    agent.now += 100ms;
+    agent.startKind(task(1), "check", 12ms);
+    agent.now += 2ms;
+    agent.handle(call_finished{.id = task(0), .outcome = lostInCrash(), .unstarted = {task(1)}});
+    const std::vector<crash_suspect> suspects = agent.get<report_crash>().suspects;
+    BOOST_REQUIRE(suspects.size() == 1U);
+    BOOST_TEST(suspects[0].kind == "lookup");
+}
+
+// Guards against blaming tasks for the planned end of an endpoint.
+BOOST_AUTO_TEST_CASE(theEndOfADrainingEndpointIsNoCrash)
+{
+    agent_fixture agent;
+    agent.start(task(0));
+    agent.handle(agent_drain_started{.bound = 1min});
+    agent.finish(task(0), lostInCrash());
+    BOOST_TEST(agent.count<report_crash>() == 0U);
+    BOOST_TEST(!agent.get<answer_start>().outcome.endpointCrashed);
+    BOOST_TEST(!agent.revoke(task(0)).outcome.endpointCrashed);
+}
+
+// Guards against outcomes of a crash that lose their mark because the agent starts to drain after it.
+BOOST_AUTO_TEST_CASE(aDrainAfterACrashKeepsItsOutcomes)
+{
+    agent_fixture agent;
+    agent.start(task(0));
+    agent.start(task(1));
+    agent.finish(task(0), lostInCrash());
+    agent.handle(agent_drain_started{.bound = 1min});
+    agent.finish(task(1), lostInCrash());
+    BOOST_TEST(agent.get<answer_start>().outcome.endpointCrashed);
+    BOOST_TEST(agent.count<report_crash>() == 0U);
+}
+
+// Guards against starts at an endpoint that is gone, whether they arrive later or were held.
+BOOST_AUTO_TEST_CASE(nothingStartsAfterACrash)
+{
+    agent_fixture agent(settingsWith(1));
+    agent.start(task(0));
+    const call_id held = agent.start(task(1));
+    agent.finish(task(0), lostInCrash());
+    BOOST_TEST(agent.count<call_endpoint>() == 0U);
+    const auto answers = agent.all<answer_start>();
+    BOOST_REQUIRE(answers.size() == 2U);
+    BOOST_TEST((answers[0].call == held));
+    BOOST_TEST((answers[0].outcome.verdict == task_verdict::notStarted));
+    BOOST_TEST((answers[0].outcome.why == reason::draining));
+    BOOST_TEST(answers[1].credits <= 0);
+    agent.start(task(2));
+    BOOST_TEST(isRefused(agent, reason::draining));
+    BOOST_TEST(agent.get<answer_start>().credits == 0);
+    agent.join(Other);
+    BOOST_TEST(agent.count<grant_credits>() == 0U);
+    agent.start(task(0, 2), Other);
+    BOOST_TEST(isRefused(agent, reason::draining));
+}
+
 // Guards against timer wake-ups of an idle agent.
 BOOST_AUTO_TEST_CASE(anIdleAgentWantsNoTimer)
 {
--- a/tests/job/decision_lines_test.cpp
+++ b/tests/job/decision_lines_test.cpp
@@ -88,6 +88,17 @@
     order.id.index = 1;
     core.handle(start_received{.call = {3}, .from = {100}, .order = order}, now, actions);
     BOOST_TEST(hasLine(log, log_part::agent, "Refused a start.", "ticket=100/1 task=1 entry=100 reason=outcome_unknown"));
+    order.id.ticket.sequence = 2;
+    order.crashAge = 15ms;
+    core.handle(start_received{.call = {4}, .from = {100}, .order = order}, now, actions);
+    order.id.ticket.sequence = 3;
+    order.kind = "lookup";
+    order.crashAge.reset();
+    core.handle(start_received{.call = {5}, .from = {100}, .order = order}, now, actions);
+    task_outcome lost = entry_fixture::outcome(task_verdict::interrupted);
+    lost.endpointCrashed = true;
+    core.handle(call_finished{.id = order.id, .outcome = lost}, now + 12ms, actions);
+    BOOST_TEST(hasLine(log, log_part::agent, "The endpoint has crashed; refusing starts.", "runs=2 kinds=check,lookup youngest_ms=12 repeated=check"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
