Carry the report of a crash to the entries

Outcomes carry the mark of a crash, starts the age of the last one, and a session has a message for the report. Fields and message are new at the end of the schema, so builds without them work beside builds with them: an entry that does not know the message refuses the call, and the agent ignores that like the error of any other message. The number of kinds and their lengths are limited. An entry that registers the agent after the crash is told that it is leaving.

--- a/src/rpc/agent_loop.cpp
+++ b/src/rpc/agent_loop.cpp
@@ -41,6 +41,7 @@
     void grantCredits(agent_action &&action);
     void endSessions(agent_action &&action);
     void announceLeaving(agent_action &&action);
+    void reportCrash(agent_action &&action);
     void dropAction(agent_action &&action);
 
     void closeSurplus(mono_time now);
@@ -70,7 +71,8 @@
           .set<answer_fence>(&agent_loop_private::answerFence)
           .set<grant_credits>(&agent_loop_private::grantCredits)
           .set<end_sessions>(&agent_loop_private::endSessions)
-          .set<announce_leaving>(&agent_loop_private::announceLeaving);
+          .set<announce_leaving>(&agent_loop_private::announceLeaving)
+          .set<report_crash>(&agent_loop_private::reportCrash);
 
 agent_loop_private::agent_loop_private(const agent_rpc_settings &settings,
                                        bounded_ring<agent_event> &events,
@@ -226,6 +228,15 @@
     }
 }
 
+// The agent joins under a new id once its endpoint is back, so entries that register it from now on must place nothing.
+void agent_loop_private::reportCrash(agent_action &&action)
+{
+    m_self.leaving = true;
+    for (const auto &[id, session] : m_sessions) {
+        session->sendCrashed(std::get<report_crash>(action).suspects);
+    }
+}
+
 void agent_loop_private::dropAction(agent_action &&action)
 {
     m_context.log.write(log_part::rpc, "Dropped an action for another adapter. index=" + std::to_string(action.index()));
--- a/src/rpc/agent_rpc.h
+++ b/src/rpc/agent_rpc.h
@@ -37,7 +37,8 @@
     agent_rpc &operator=(const agent_rpc &) = delete;
 
     /**
-     * Queues an action: answer_start, answer_revoke, answer_fence, grant_credits, announce_leaving or end_sessions.
+     * Queues an action: answer_start, answer_revoke, answer_fence, grant_credits, announce_leaving, report_crash or
+     * end_sessions.
      * @param action the action; moved from only if the ring accepts it
      * @return false if the ring is full or the adapter has stopped
      */
--- a/src/rpc/agent_session_port.cpp
+++ b/src/rpc/agent_session_port.cpp
@@ -1,5 +1,6 @@
 #include "rpc/agent_session_port.h"
 
+#include "rpc/list_codec.h"
 #include "rpc/snapshot_codec.h"
 #include "rpc/snapshot_source.h"
 
@@ -51,4 +52,10 @@
     return kj::READY_NOW;
 }
 
+kj::Promise<void> agent_session_port::crashed(CrashedContext call)
+{
+    m_context.events.push(endpoint_crashed{currentAgent(), decodeSuspects(call.getParams().getSuspects())});
+    return kj::READY_NOW;
+}
+
 } // namespace teaselward
--- a/src/rpc/agent_session_port.h
+++ b/src/rpc/agent_session_port.h
@@ -24,6 +24,7 @@
     kj::Promise<void> credits(CreditsContext call) override;
     kj::Promise<void> leaving(LeavingContext call) override;
     kj::Promise<void> snapshot(SnapshotContext call) override;
+    kj::Promise<void> crashed(CrashedContext call) override;
 
 private:
     agent_id currentAgent() const;
--- a/src/rpc/entry_session.cpp
+++ b/src/rpc/entry_session.cpp
@@ -1,6 +1,7 @@
 #include "rpc/entry_session.h"
 
 #include "rpc/info_codec.h"
+#include "rpc/list_codec.h"
 #include "rpc/rpc_limits.h"
 #include "rpc/snapshot_codec.h"
 #include "rpc/snapshot_source.h"
@@ -135,6 +136,14 @@
     m_tasks.add(m_remote.leavingRequest().send().ignoreResult());
 }
 
+// An entry of an older version does not know the message; its error is ignored, and the entry learns of the loss by the answers.
+void entry_session::sendCrashed(const std::vector<crash_suspect> &suspects)
+{
+    auto request = m_remote.crashedRequest();
+    encodeSuspects(suspects, request.initSuspects(static_cast<unsigned>(suspects.size())));
+    m_tasks.add(request.send().ignoreResult());
+}
+
 void entry_session::fetchSnapshotIfNewer(std::uint64_t offset)
 {
     snapshot_source *source = m_context.settings.snapshots;
--- a/src/rpc/entry_session.h
+++ b/src/rpc/entry_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/crash_suspect.h"
 #include "rpc/agent_rpc_context.h"
 #include "rpc/link_user.h"
 #include "rpc/welcome.h"
@@ -72,6 +73,12 @@
     /** Notifies the entry that the agent accepts no new tasks. */
     void sendLeaving();
 
+    /**
+     * Notifies the entry that the endpoint has crashed.
+     * @param suspects kinds whose tasks were running
+     */
+    void sendCrashed(const std::vector<crash_suspect> &suspects);
+
     /**
      * Fetches the entry's copy of the configuration if it is newer than the local ones.
      * @param offset offset in the platform log up to which the copy is complete
--- a/src/rpc/list_codec.cpp
+++ b/src/rpc/list_codec.cpp
@@ -1,8 +1,11 @@
 #include "rpc/list_codec.h"
 
+#include "rpc/rpc_limits.h"
 #include "rpc/task_codec.h"
 #include "rpc/text_codec.h"
 
+#include <kj/debug.h>
+
 namespace teaselward
 {
 
@@ -84,4 +87,26 @@
     return values;
 }
 
+void encodeSuspects(const std::vector<crash_suspect> &values, capnp::List<wire::CrashSuspect>::Builder out)
+{
+    unsigned index = 0;
+    for (const crash_suspect &value : values) {
+        out[index].setKind(toWireText(value.kind));
+        out[index].setRepeated(value.isRepeated);
+        ++index;
+    }
+}
+
+std::vector<crash_suspect> decodeSuspects(capnp::List<wire::CrashSuspect>::Reader in)
+{
+    KJ_REQUIRE(in.size() <= MaxCrashSuspects, "too many suspects", in.size());
+    std::vector<crash_suspect> values;
+    values.reserve(in.size());
+    for (const auto value : in) {
+        KJ_REQUIRE(value.getKind().size() <= MaxKindBytes, "the name of a kind is too long");
+        values.push_back({fromWireText(value.getKind()), value.getRepeated()});
+    }
+    return values;
+}
+
 } // namespace teaselward
--- a/src/rpc/list_codec.h
+++ b/src/rpc/list_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/agent_task_status.h"
+#include "core/crash_suspect.h"
 #include "core/team_usage.h"
 #include "rpc/wire.capnp.h"
 
@@ -50,4 +51,17 @@
 /** @return tasks that an agent holds, from a list in a message */
 std::vector<agent_task_status> decodeHeld(capnp::List<wire::HeldTask>::Reader in);
 
+/**
+ * Writes the suspects of a crash to a list in a message.
+ * @param values the suspects
+ * @param out list of the same size
+ */
+void encodeSuspects(const std::vector<crash_suspect> &values, capnp::List<wire::CrashSuspect>::Builder out);
+
+/**
+ * Reads the suspects of a crash from a list in a message.
+ * @throws kj::Exception if there are more than MaxCrashSuspects or the name of a kind is longer than MaxKindBytes
+ */
+std::vector<crash_suspect> decodeSuspects(capnp::List<wire::CrashSuspect>::Reader in);
+
 } // namespace teaselward
--- a/src/rpc/rpc_limits.h
+++ b/src/rpc/rpc_limits.h
@@ -33,6 +33,12 @@
 /** Limit of the calls of one session that wait for their answers. */
 constexpr std::size_t MaxSessionCalls = 4096;
 
+/** Limit of the kinds in the report of a crash; one endpoint runs far fewer tasks at a time. */
+constexpr std::size_t MaxCrashSuspects = 1024;
+
+/** Size limit of the name of a kind in the report of a crash, in bytes. */
+constexpr std::size_t MaxKindBytes = 1024;
+
 /** Limit of the sessions that two entries have with each other; several arise when both connect at the same time. */
 constexpr std::size_t MaxPeerLinks = 4;
 
--- a/src/rpc/task_codec.cpp
+++ b/src/rpc/task_codec.cpp
@@ -12,6 +12,7 @@
     out.setWhy(static_cast<std::uint8_t>(value.why));
     out.setBody(toWireData(value.body));
     out.setRunTimeUs(value.runTime.count());
+    out.setCrashed(value.endpointCrashed);
 }
 
 task_outcome decode(wire::TaskOutcome::Reader in)
@@ -21,6 +22,7 @@
     value.why = fromWireEnum(in.getWhy(), reason::runStalled);
     value.body = fromWireData(in.getBody());
     value.runTime = fromWireDuration<std::chrono::microseconds>(in.getRunTimeUs());
+    value.endpointCrashed = in.getCrashed();
     return value;
 }
 
@@ -53,6 +55,8 @@
     out.setEstimateMs(value.estimate.count());
     out.setHasSlack(value.slack.has_value());
     out.setSlackMs(value.slack.value_or(std::chrono::milliseconds::zero()).count());
+    out.setHasCrashAge(value.crashAge.has_value());
+    out.setCrashAgeMs(value.crashAge.value_or(std::chrono::milliseconds::zero()).count());
 }
 
 start_order decode(wire::StartOrder::Reader in)
@@ -72,6 +76,9 @@
     if (in.getHasSlack()) {
         value.slack = fromWireDuration<std::chrono::milliseconds>(in.getSlackMs());
     }
+    if (in.getHasCrashAge()) {
+        value.crashAge = fromWireDuration<std::chrono::milliseconds>(in.getCrashAgeMs());
+    }
     return value;
 }
 
--- a/src/rpc/wire.capnp
+++ b/src/rpc/wire.capnp
@@ -27,6 +27,7 @@
   why @1 :UInt8;
   body @2 :Data;
   runTimeUs @3 :Int64;
+  crashed @4 :Bool; # The endpoint crashed while the task was running.
 }
 
 struct HeldTask {
@@ -51,6 +52,13 @@
   slackMs @12 :Int64;
   comesFirst @13 :Bool;
   estimateMs @14 :Int64;
+  hasCrashAge @15 :Bool;
+  crashAgeMs @16 :Int64;
+}
+
+struct CrashSuspect {
+  kind @0 :Text;
+  repeated @1 :Bool;
 }
 
 struct AgentInfo {
@@ -135,6 +143,7 @@
   credits @1 (delta :Int32);
   leaving @2 ();
   snapshot @3 () -> (snapshot :Snapshot);
+  crashed @4 (suspects :List(CrashSuspect));
 }
 
 interface EntryPort {
--- a/src/rpc/wire.capnp.h
+++ b/src/rpc/wire.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(f14d957719621eec);
 CAPNP_DECLARE_SCHEMA(a1f0a8eaeb1336ee);
 CAPNP_DECLARE_SCHEMA(9d383fa57d566cab);
+CAPNP_DECLARE_SCHEMA(c7cdaadffb51c17b);
 CAPNP_DECLARE_SCHEMA(9f376900aa6f8ea5);
 CAPNP_DECLARE_SCHEMA(d51d711aec2ac25b);
 CAPNP_DECLARE_SCHEMA(9ec4efaad73b8cc0);
@@ -62,6 +63,8 @@
 CAPNP_DECLARE_SCHEMA(cbbe1ed115103fec);
 CAPNP_DECLARE_SCHEMA(cca2c26522c950ce);
 CAPNP_DECLARE_SCHEMA(d17e554464569164);
+CAPNP_DECLARE_SCHEMA(f3f94aec359f2805);
+CAPNP_DECLARE_SCHEMA(e8d334b403e6ce4c);
 CAPNP_DECLARE_SCHEMA(9b370fde083a1e6e);
 CAPNP_DECLARE_SCHEMA(cff122660970e2b0);
 CAPNP_DECLARE_SCHEMA(b9effea68fdb0a23);
@@ -165,7 +168,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d383fa57d566cab, 6, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(9d383fa57d566cab, 7, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashSuspect {
+  CrashSuspect() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c7cdaadffb51c17b, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -630,6 +648,8 @@
   struct LeavingResults;
   struct SnapshotParams;
   struct SnapshotResults;
+  struct CrashedParams;
+  struct CrashedResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -759,6 +779,36 @@
   };
 };
 
+struct AgentSession::CrashedParams {
+  CrashedParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f3f94aec359f2805, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AgentSession::CrashedResults {
+  CrashedResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8d334b403e6ce4c, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct EntryPort {
   EntryPort() = delete;
 
@@ -1266,6 +1316,8 @@
 
   inline  ::int64_t getRunTimeUs() const;
 
+  inline bool getCrashed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1310,6 +1362,9 @@
   inline  ::int64_t getRunTimeUs();
   inline void setRunTimeUs( ::int64_t value);
 
+  inline bool getCrashed();
+  inline void setCrashed(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1486,6 +1541,10 @@
 
   inline  ::int64_t getEstimateMs() const;
 
+  inline bool getHasCrashAge() const;
+
+  inline  ::int64_t getCrashAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1579,6 +1638,12 @@
   inline  ::int64_t getEstimateMs();
   inline void setEstimateMs( ::int64_t value);
 
+  inline bool getHasCrashAge();
+  inline void setHasCrashAge(bool value);
+
+  inline  ::int64_t getCrashAgeMs();
+  inline void setCrashAgeMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1606,6 +1671,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashSuspect::Reader {
+public:
+  typedef CrashSuspect Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKind() const;
+  inline  ::capnp::Text::Reader getKind() const;
+
+  inline bool getRepeated() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashSuspect::Builder {
+public:
+  typedef CrashSuspect Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKind();
+  inline  ::capnp::Text::Builder getKind();
+  inline void setKind( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKind(unsigned int size);
+  inline void adoptKind(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKind();
+
+  inline bool getRepeated();
+  inline void setRepeated(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashSuspect::Pipeline {
+public:
+  typedef CrashSuspect Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class AgentInfo::Reader {
 public:
   typedef AgentInfo Reads;
@@ -4100,6 +4251,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::teaselward::wire::AgentSession::SnapshotParams,  ::teaselward::wire::AgentSession::SnapshotResults> snapshotRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::teaselward::wire::AgentSession::CrashedParams,  ::teaselward::wire::AgentSession::CrashedResults> crashedRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -4132,6 +4285,10 @@
   typedef  ::teaselward::wire::AgentSession::SnapshotResults SnapshotResults;
   typedef ::capnp::CallContext<SnapshotParams, SnapshotResults> SnapshotContext;
   virtual ::kj::Promise<void> snapshot(SnapshotContext context);
+  typedef  ::teaselward::wire::AgentSession::CrashedParams CrashedParams;
+  typedef  ::teaselward::wire::AgentSession::CrashedResults CrashedResults;
+  typedef ::capnp::CallContext<CrashedParams, CrashedResults> CrashedContext;
+  virtual ::kj::Promise<void> crashed(CrashedContext context);
 
   inline  ::teaselward::wire::AgentSession::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -4728,6 +4885,158 @@
 };
 #endif  // !CAPNP_LITE
 
+class AgentSession::CrashedParams::Reader {
+public:
+  typedef CrashedParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AgentSession::CrashedParams::Builder {
+public:
+  typedef CrashedParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>> disownSuspects();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AgentSession::CrashedParams::Pipeline {
+public:
+  typedef CrashedParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AgentSession::CrashedResults::Reader {
+public:
+  typedef CrashedResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AgentSession::CrashedResults::Builder {
+public:
+  typedef CrashedResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AgentSession::CrashedResults::Pipeline {
+public:
+  typedef CrashedResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class EntryPort::Client
     : public virtual ::capnp::Capability::Client {
@@ -6047,6 +6356,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool TaskOutcome::Reader::getCrashed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool TaskOutcome::Builder::getCrashed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void TaskOutcome::Builder::setCrashed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HeldTask::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6454,6 +6777,82 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StartOrder::Reader::getHasCrashAge() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS);
+}
+
+inline bool StartOrder::Builder::getHasCrashAge() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS);
+}
+inline void StartOrder::Builder::setHasCrashAge(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StartOrder::Reader::getCrashAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StartOrder::Builder::getCrashAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void StartOrder::Builder::setCrashAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashSuspect::Reader::hasKind() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashSuspect::Builder::hasKind() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CrashSuspect::Reader::getKind() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CrashSuspect::Builder::getKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashSuspect::Builder::setKind( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CrashSuspect::Builder::initKind(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashSuspect::Builder::adoptKind(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashSuspect::Builder::disownKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashSuspect::Reader::getRepeated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashSuspect::Builder::getRepeated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashSuspect::Builder::setRepeated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AgentInfo::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8094,6 +8493,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool AgentSession::CrashedParams::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentSession::CrashedParams::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader AgentSession::CrashedParams::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder AgentSession::CrashedParams::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentSession::CrashedParams::Builder::setSuspects( ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder AgentSession::CrashedParams::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AgentSession::CrashedParams::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>> AgentSession::CrashedParams::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::teaselward::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline EntryPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/tests/rpc/codec_test.cpp
+++ b/tests/rpc/codec_test.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <limits>
+#include <optional>
 
 using namespace teaselward;
 using namespace std::chrono_literals;
@@ -93,4 +94,29 @@
     BOOST_TEST(read.leaving);
 }
 
+// Guards against a crash that is lost on its way, or is read from an outcome of a build that does not report crashes.
+BOOST_AUTO_TEST_CASE(keepsTheCrashOfAnOutcome)
+{
+    capnp::MallocMessageBuilder message;
+    auto wire = message.initRoot<wire::TaskOutcome>();
+    BOOST_TEST(!decode(wire.asReader()).endpointCrashed);
+    task_outcome outcome{task_verdict::interrupted, reason::outcomeUnknown, "", 12ms};
+    outcome.endpointCrashed = true;
+    encode(outcome, wire);
+    BOOST_TEST(decode(wire.asReader()).endpointCrashed);
+}
+
+// Guards against the age of an earlier crash that is lost on its way, or is read as zero from an order without one.
+BOOST_AUTO_TEST_CASE(keepsTheCrashAgeOfAnOrder)
+{
+    for (const std::optional<std::chrono::milliseconds> age : {std::optional<std::chrono::milliseconds>(), {0ms}, {1234ms}}) {
+        start_order order{task_id{ticket_id{11, 7}, 3}, "lookup", "team-a", "payload", 1500ms, 42};
+        order.crashAge = age;
+        capnp::MallocMessageBuilder message;
+        auto wire = message.initRoot<wire::StartOrder>();
+        encode(order, wire);
+        BOOST_TEST((decode(wire.asReader()).crashAge == age));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
