--- a/src/metrics/run_metrics.cpp
+++ b/src/metrics/run_metrics.cpp
@@ -35,6 +35,7 @@
     std::map<std::pair<task_verdict, reason>, duration_distribution> runs ABSL_GUARDED_BY(mutex);
     std::uint64_t unanswered ABSL_GUARDED_BY(mutex) = 0;
     std::uint64_t instances ABSL_GUARDED_BY(mutex) = 0;
+    std::uint64_t crashes ABSL_GUARDED_BY(mutex) = 0;
 };
 
 } // namespace detail
@@ -64,6 +65,12 @@
     ++d->instances;
 }
 
+void run_metrics::countEndpointCrash()
+{
+    const absl::MutexLock lock(&d->mutex);
+    ++d->crashes;
+}
+
 std::string run_metrics::text() const
 {
     const absl::MutexLock lock(&d->mutex);
@@ -77,6 +84,8 @@
     writer.sample("teaselward_unanswered_calls_total", {}, static_cast<double>(d->unanswered));
     writer.family("teaselward_endpoint_lives_total", "counter", "Lives of the endpoint that were adopted.");
     writer.sample("teaselward_endpoint_lives_total", {}, static_cast<double>(d->instances));
+    writer.family("teaselward_endpoint_crashes_total", "counter", "Lives of the endpoint that ended while runs were in progress.");
+    writer.sample("teaselward_endpoint_crashes_total", {}, static_cast<double>(d->crashes));
     return writer.take();
 }
 
--- a/src/metrics/run_metrics.h
+++ b/src/metrics/run_metrics.h
@@ -36,6 +36,9 @@
     /** Counts an instance of the endpoint that the agent has adopted. */
     void countEndpointInstance();
 
+    /** Counts an instance of the endpoint that ended while runs were in progress. */
+    void countEndpointCrash();
+
     /** @return all metrics in the text exposition format */
     std::string text() const;
 
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -155,12 +155,17 @@
     void report()
     {
         bounded_ring<agent_event> *const ring = events;
+        bool hasCrashed = false;
         for (call_finished &end : supervisor.takeEnds()) {
             metrics.countRun(end.outcome);
+            hasCrashed = hasCrashed || end.outcome.endpointCrashed;
             if (ring != nullptr) {
                 ring->push(std::move(end));
             }
         }
+        if (hasCrashed) {
+            metrics.countEndpointCrash(); // Once, because all runs of an instance are lost at the same time.
+        }
         if (!isReadyReported && supervisor.isReady()) {
             isReadyReported = true;
             onReady();
