Simulate endpoints that crash

No simulation of the decisions could replay a task that crashes each endpoint that starts it. The overload simulation now does so under the users' workload: a fraction of the jobs of a kind can have such a task, a test can crash any endpoint, and a crash follows the order of the real processes: the runs end, the agent detects it after 2 ms to 7 ms, reports the ends, leaves and is lost, and a new agent joins under the same address after 3 s. Starts without an answer are reported as such. Jobs keep their outcomes, so that a test can count any span. The header held three types; each has a file now, and the two workloads that another test needs moved out of the test.

--- a/tests/job/overload_simulation.h
+++ b/tests/job/overload_simulation.h
@@ -1,10 +1,14 @@
 #pragma once
 
-#include "agent/agent_core.h"
 #include "core/route_config.h"
-#include "core/task_id.h"
-#include "core/task_verdict.h"
-#include "job/entry_core.h"
+#include "job/kind_outcome.h"
+#include "job/simulated_call.h"
+#include "job/simulated_crash.h"
+#include "job/simulated_endpoint.h"
+#include "job/simulated_entry.h"
+#include "job/simulated_job.h"
+#include "job/simulated_kind.h"
+#include "job/simulated_run.h"
 #include "log/null_logger.h"
 
 #include <chrono>
@@ -12,7 +16,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -20,39 +23,11 @@
 namespace teaselward
 {
 
-/** Kind of jobs in the simulated workload. */
-struct simulated_kind {
-    std::string name;
-    std::uint32_t priority = 0;
-    double jobsPerSecond = 0;
-    double tasks = 1; ///< Mean number of tasks of a job.
-    std::chrono::milliseconds work{}; ///< Mean run time of a task at an endpoint of normal speed.
-    std::chrono::milliseconds timeLimit{10000}; ///< Time after which the caller leaves.
-    double longFraction = 0; ///< Fraction of the jobs whose tasks run seven times as long.
-};
-
-/** Outcomes of the jobs of one kind. */
-struct kind_outcome {
-    std::size_t submitted = 0;
-    std::size_t inTime = 0; ///< Answered within the objective.
-    std::size_t late = 0; ///< Answered within three times the objective.
-    std::size_t refused = 0; ///< Answered "not run".
-    std::size_t failed = 0;
-    double wasted = 0; ///< Processor seconds of runs that were stopped.
-    std::size_t refusedWithRoom = 0; ///< Refused while all its tasks would have fitted into free processors of the endpoints.
-    std::size_t refusedSlowly = 0; ///< Refused after more than a quarter of the objective.
-
-    /** @return fraction of the jobs that were answered within their objective; 1 without jobs */
-    double fractionInTime() const
-    {
-        return submitted == 0 ? 1 : static_cast<double>(inTime) / static_cast<double>(submitted);
-    }
-};
-
 /**
  * Simulates entries and agents in virtual time under a generated workload: Poisson arrivals with log-normal numbers of tasks, run
  * times and processor needs, and declared run times with a log-normal error (sigma 0.4), as in the workload of the users. Nothing
- * fails, so that the outcomes depend only on the decisions about order, admission and placement.
+ * fails except the endpoints that a test or a deadly task crashes, so that the outcomes depend only on the decisions about order,
+ * admission and placement.
  */
 class overload_simulation
 {
@@ -67,6 +42,9 @@
     overload_simulation(std::vector<simulated_kind> kinds, std::size_t endpoints, std::uint32_t seed, std::size_t entries = 3);
     ~overload_simulation();
 
+    overload_simulation(const overload_simulation &) = delete;
+    overload_simulation &operator=(const overload_simulation &) = delete;
+
     /**
      * Changes the speed of an endpoint.
      * @param endpoint index of the endpoint
@@ -80,6 +58,21 @@
      */
     void setLoad(double factor);
 
+    /**
+     * Changes the fraction of deadly jobs of a kind. One random task of a deadly job crashes each endpoint that starts it.
+     * @param kind the kind
+     * @param fraction fraction of the jobs that arrive from now on
+     */
+    void setDeadly(const std::string &kind, double fraction);
+
+    /**
+     * Crashes an endpoint; ignored if it is down. Its runs end at once, and its agent detects the crash within milliseconds,
+     * reports it and ends. The endpoint is back under the same address with a new agent after a while.
+     * @param endpoint index of the endpoint
+     * @param downTime time until the endpoint is back
+     */
+    void crash(std::size_t endpoint, std::chrono::milliseconds downTime = std::chrono::seconds(3));
+
     /**
      * Runs the simulation with arriving jobs.
      * @param length virtual time
@@ -88,62 +81,92 @@
      */
     void run(std::chrono::milliseconds length, double burst = 1, const std::string &kind = {});
 
+    /** Simulates another 10 s without arriving jobs, in which the jobs in progress end. */
+    void finish();
+
     /** @return outcomes by kind of the jobs that arrived since the last call; simulates another 10 s to finish them */
     std::map<std::string, kind_outcome> takeOutcomes();
 
-private:
-    struct entry_process {
-        std::unique_ptr<entry_core> core;
-        mono_time wake = mono_time::max();
-    };
-    struct agent_process {
-        std::unique_ptr<agent_core> core;
-        double slowdown = 1;
-        std::uint32_t freeMillis = 0; ///< Processors that no task uses, in thousandths.
-        mono_time wake = mono_time::max();
-    };
-    struct open_job {
-        std::string kind;
-        mono_time arrival{};
-        std::chrono::microseconds objective{};
-        std::uint32_t cpuMillis = 0; ///< Processors that each task needs, in thousandths.
-        std::vector<std::chrono::microseconds> work; ///< Run time of each task.
-    };
-
-    struct running_run {
-        std::size_t agent = 0;
-        std::string kind;
-        std::uint32_t cpuMillis = 0;
-        mono_time start{};
-    };
+    /**
+     * Returns the outcomes of the jobs that arrived in a span.
+     * @param from begin of the span, as virtual time since the start
+     * @param to end of the span, as virtual time since the start
+     * @return outcomes by kind
+     */
+    std::map<std::string, kind_outcome> outcomes(std::chrono::microseconds from, std::chrono::microseconds to) const;
 
-    void endRun(const task_id &id, task_verdict verdict);
+    /** @return virtual time since the start */
+    std::chrono::microseconds elapsed() const;
+
+    /** @return all crashes, ordered by time */
+    const std::vector<simulated_crash> &crashes() const;
+
+    /** @return the largest number of endpoints that were down at the same time */
+    std::size_t maxDown() const;
+
+    /** @return all deadly tasks */
+    std::vector<simulated_task> deadlyTasks() const;
+
+private:
     void schedule(std::chrono::microseconds delay, std::function<void()> callback);
     void runUntil(mono_time end);
     double lognormal(double mean, double spread);
     void submit(const simulated_kind &kind);
+    void startAgent(std::size_t endpoint);
+    void connect(std::size_t entry, std::size_t endpoint);
+    void loseConnection(std::size_t entry, const agent_id &agent);
+    void detectCrash(std::size_t endpoint);
     void toEntry(std::size_t entry, const entry_event &event);
-    void toAgent(std::size_t agent, const agent_event &event);
+    void toAllEntries(const entry_event &event);
+    void toAgent(std::size_t endpoint, const agent_event &event);
+    void toAgent(const agent_id &agent, const agent_event &event);
+    std::size_t endpointOf(const agent_id &agent) const;
     void wakeEntry(std::size_t entry);
-    void wakeAgent(std::size_t agent);
+    void wakeAgent(std::size_t endpoint);
     void perform(std::size_t entry, const entry_action &action);
-    void perform(std::size_t agent, const agent_action &action);
-    void answered(const job_answer &answer, std::uint64_t request);
-    bool hasRoom(const open_job &job) const;
+    void perform(std::size_t endpoint, const agent_action &action);
+    void deliver(std::size_t entry, const start_task &action);
+    void deliver(std::size_t entry, const revoke_task &action);
+    void deliver(std::size_t entry, const send_demand &action);
+    void deliver(std::size_t entry, const stop_task &action);
+    void deliver(std::size_t entry, const reply_job &action);
+    void deliver(std::size_t endpoint, const call_endpoint &action);
+    void deliver(std::size_t endpoint, const stop_call &action);
+    void deliver(std::size_t endpoint, const answer_start &action);
+    void deliver(std::size_t endpoint, const answer_revoke &action);
+    void deliver(std::size_t endpoint, const grant_credits &action);
+    void deliver(std::size_t endpoint, const announce_leaving &action);
+    void deliver(std::size_t endpoint, const report_crash &action);
+
+    /** Ignores actions that have no effect in the simulation. */
+    template<typename Action>
+    void deliver(std::size_t /*process*/, const Action & /*action*/)
+    {
+    }
+
+    void startRun(std::size_t endpoint, const call_endpoint &call);
+    void endRun(const task_id &id, task_verdict verdict);
+    void crashByTask(const task_id &id);
+    bool hasRoom(const simulated_job &job) const;
 
     std::vector<simulated_kind> m_kinds;
     std::mt19937 m_random;
+    std::mt19937 m_crashRandom; ///< Separate, so that crashes do not change the workload.
     double m_load = 1;
     null_logger m_log;
-    mono_time m_now{std::chrono::hours(1)};
+    const mono_time m_start{std::chrono::hours(1)};
+    mono_time m_now = m_start;
+    mono_time m_taken = m_start; ///< Jobs that arrived earlier have been returned by takeOutcomes().
     std::multimap<mono_time, std::function<void()>> m_due;
-    std::vector<entry_process> m_entries;
-    std::vector<agent_process> m_agents;
-    std::map<std::uint64_t, open_job> m_open; ///< By request.
-    std::map<std::string, std::uint64_t> m_requests; ///< By client key.
-    std::map<std::uint64_t, std::size_t> m_callers; ///< Entry of each start in progress, by call.
-    std::map<task_id, running_run> m_runs; ///< Runs in progress.
-    std::map<std::string, kind_outcome> m_outcomes;
+    std::vector<simulated_entry> m_entries;
+    std::vector<simulated_endpoint> m_endpoints;
+    std::map<std::uint64_t, simulated_job> m_jobs; ///< By request; the client key is the same number as text.
+    std::map<std::uint64_t, simulated_call> m_calls; ///< Starts without an answer, by call.
+    std::map<std::uint64_t, std::size_t> m_revocations; ///< Entry of each revocation without an answer, by call.
+    std::map<task_id, simulated_run> m_runs; ///< Runs in progress.
+    std::vector<simulated_crash> m_crashes;
+    std::size_t m_down = 0; ///< Number of endpoints that are down.
+    std::size_t m_maxDown = 0;
     std::uint64_t m_lastRequest = 0;
     std::uint64_t m_lastCall = 0;
 };
--- a/tests/job/overload_simulation_test.cpp
+++ b/tests/job/overload_simulation_test.cpp
@@ -1,4 +1,6 @@
+#include "job/outcome_report.h"
 #include "job/overload_simulation.h"
+#include "job/simulated_workloads.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -12,26 +14,6 @@
 namespace
 {
 
-// Workload of the users: kinds with short jobs of many tasks, long jobs, and frequent small jobs. The load is 245 of 411 cores.
-std::vector<simulated_kind> baselineKinds()
-{
-    return {
-        {.name = "eligibility", .priority = 0, .jobsPerSecond = 34.4, .tasks = 8, .work = 60ms},
-        {.name = "order", .priority = 2, .jobsPerSecond = 6.25, .tasks = 4, .work = 900ms},
-        {.name = "lookup", .priority = 1, .jobsPerSecond = 100, .tasks = 2, .work = 200ms},
-    };
-}
-
-// The same workload after growth, for 13 entries and 70 endpoints, some of which are lost.
-std::vector<simulated_kind> scaledKinds()
-{
-    return {
-        {.name = "eligibility", .priority = 0, .jobsPerSecond = 206, .tasks = 8, .work = 60ms},
-        {.name = "order", .priority = 2, .jobsPerSecond = 37.5, .tasks = 4, .work = 900ms},
-        {.name = "lookup", .priority = 1, .jobsPerSecond = 600, .tasks = 2, .work = 200ms},
-    };
-}
-
 // Workload of a desk whose refusals must come early: the load is half of the capacity on average and exceeds it at the peaks.
 std::vector<simulated_kind> deskKinds()
 {
@@ -61,16 +43,6 @@
     return simulation.takeOutcomes();
 }
 
-// Prints the outcomes; visible with --log_level=message.
-void report(const std::string &title, const std::map<std::string, kind_outcome> &outcomes)
-{
-    for (const auto &[kind, one] : outcomes) {
-        BOOST_TEST_MESSAGE(title << " " << kind << ": submitted " << one.submitted << " in time " << one.inTime << " late " << one.late << " refused "
-                                 << one.refused << " with room " << one.refusedWithRoom << " slowly " << one.refusedSlowly << " failed " << one.failed
-                                 << " wasted " << one.wasted);
-    }
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(overload_simulation_test)
