--- a/tests/job/kind_outcome.cpp
+++ b/tests/job/kind_outcome.cpp
@@ -1,5 +1,7 @@
 #include "job/kind_outcome.h"
 
+#include <algorithm>
+
 namespace teaselward
 {
 
@@ -14,12 +16,17 @@
 {
     ++submitted;
     wasted += job.wasted;
+    const bool isHit = std::ranges::any_of(job.tasks, [](const simulated_task &task) {
+        return task.lostRuns > 0;
+    });
+    hit += isHit ? 1 : 0;
     switch (job.result) {
     case simulated_result::none:
         break;
     case simulated_result::complete:
         if (job.took <= job.objective) {
             ++inTime;
+            hitInTime += isHit ? 1 : 0;
         } else if (job.took <= LateFactor * job.objective) {
             ++late;
         }
@@ -42,4 +49,9 @@
     return submitted == 0 ? 1 : static_cast<double>(inTime) / static_cast<double>(submitted);
 }
 
+double kind_outcome::fractionInTimeUnlessHit() const
+{
+    return submitted == hit ? 1 : static_cast<double>(inTime - hitInTime) / static_cast<double>(submitted - hit);
+}
+
 } // namespace teaselward
--- a/tests/job/kind_outcome.h
+++ b/tests/job/kind_outcome.h
@@ -20,6 +20,9 @@
     std::size_t refusedFalsely = 0; ///< Answered "not run" although a task was started before or afterwards.
     std::size_t failedEarly = 0; ///< Failed before the deadline although no task had lost three runs with crashed endpoints.
 
+    std::size_t hit = 0; ///< At least one task lost a run with a crashed endpoint.
+    std::size_t hitInTime = 0; ///< Answered within the objective although it was hit.
+
     /**
      * Counts a job.
      * @param job the job
@@ -28,6 +31,9 @@
 
     /** @return fraction of the jobs that were answered within their objective; 1 without jobs */
     double fractionInTime() const;
+
+    /** @return the same fraction of the jobs that lost no run with a crashed endpoint */
+    double fractionInTimeUnlessHit() const;
 };
 
 } // namespace teaselward
