--- a/src/agent/run/run_supervisor_private.cpp
+++ b/src/agent/run/run_supervisor_private.cpp
@@ -248,19 +248,19 @@
     for (const auto &[id, run] : runs) {
         all.push_back(id);
     }
-    const auto unstarted = std::ranges::partition(all, [this](const run_id &id) {
+    const auto firstUnstarted = std::partition(all.begin(), all.end(), [this](const run_id &id) {
         return runs.at(id).hasStarted;
     });
-    std::vector<task_id> unstartedTasks;
-    for (const run_id &id : unstarted) {
-        unstartedTasks.push_back(runs.at(id).order.id);
+    std::vector<task_id> unstarted;
+    for (auto id = firstUnstarted; id != all.end(); ++id) {
+        unstarted.push_back(runs.at(*id).order.id);
     }
     const std::size_t first = ends.size();
     for (const run_id &id : all) {
         finish(id, task_verdict::interrupted, reason::outcomeUnknown, now);
     }
     if (hasCrashed && first < ends.size()) {
-        ends[first].unstarted = std::move(unstartedTasks);
+        ends[first].unstarted = std::move(unstarted);
     }
 }
 
--- a/src/rpc/list_codec.cpp
+++ b/src/rpc/list_codec.cpp
@@ -9,6 +9,17 @@
 namespace teaselward
 {
 
+namespace
+{
+
+crash_suspect decodeSuspect(wire::CrashSuspect::Reader in)
+{
+    KJ_REQUIRE(in.getKind().size() <= MaxKindBytes, "the name of a kind is too long");
+    return {fromWireText(in.getKind()), in.getRepeated()};
+}
+
+} // namespace
+
 void encodeTexts(const std::vector<std::string> &values, capnp::List<capnp::Text>::Builder out)
 {
     unsigned index = 0;
@@ -103,8 +114,7 @@
     std::vector<crash_suspect> values;
     values.reserve(in.size());
     for (const auto value : in) {
-        KJ_REQUIRE(value.getKind().size() <= MaxKindBytes, "the name of a kind is too long");
-        values.push_back({fromWireText(value.getKind()), value.getRepeated()});
+        values.push_back(decodeSuspect(value));
     }
     return values;
 }
