Release quarantined kinds of rare jobs in time

Cause: a kind with two jobs a second at an entry needs many seconds for 64 successes, and each second crash of a known task started the time again.

A kind is now also released 5 s after the last crash, twice as long after a relapse. The second crash of a task says nothing about the jobs that arrive now and is not counted, and no kind is released while suspect tasks wait for their endpoints.

--- a/src/job/entry_core_private.cpp
+++ b/src/job/entry_core_private.cpp
@@ -105,9 +105,6 @@
     m_recoveries.runTimers();
     m_forwarder.runTimers();
     m_quotas.runTimers();
-    if (m_context.quarantine.expire(m_context.now)) {
-        m_context.slots.setIsolated(!m_context.quarantine.isEmpty(), m_context.now);
-    }
 }
 
 mono_time entry_core_private::nextDue() const
--- a/src/job/suspect_tasks.cpp
+++ b/src/job/suspect_tasks.cpp
@@ -18,7 +18,8 @@
     m_tasks.push_back(std::move(task));
 }
 
-std::optional<queued_task> suspect_tasks::take()
+// Removes the tasks whose job has been answered in the meantime.
+void suspect_tasks::dropAnswered()
 {
     std::erase_if(m_tasks, [this](const queued_task &task) {
         if (m_jobs.findRunning(task.id.ticket) != nullptr) {
@@ -29,6 +30,11 @@
         m_context.queue.finish(task, dropped, m_context.now);
         return true;
     });
+}
+
+std::optional<queued_task> suspect_tasks::take()
+{
+    dropAnswered();
     for (auto task = m_tasks.begin(); task != m_tasks.end(); ++task) {
         if (m_context.slots.isPlaceable(
                 m_context.offeredName(task->kind), m_context.now, m_context.highPriority(task->kind), m_context.lane(task->kind, true))) {
@@ -40,4 +46,9 @@
     return std::nullopt;
 }
 
+bool suspect_tasks::isEmpty() const
+{
+    return m_tasks.empty();
+}
+
 } // namespace teaselward
--- a/src/job/suspect_tasks.h
+++ b/src/job/suspect_tasks.h
@@ -33,7 +33,12 @@
     /** @return the next task that can be placed now; empty if there is none */
     std::optional<queued_task> take();
 
+    /** @return whether no task waits */
+    bool isEmpty() const;
+
 private:
+    void dropAnswered();
+
     entry_context &m_context;
     job_manager &m_jobs;
     std::deque<queued_task> m_tasks; ///< Oldest first; bounded by the starts that this entry has lost with crashed endpoints.
--- a/src/job/task_placer.cpp
+++ b/src/job/task_placer.cpp
@@ -4,6 +4,7 @@
 #include "core/task_log_fields.h"
 #include "job/failure_reason.h"
 
+#include <string>
 #include <utility>
 
 namespace teaselward
@@ -164,7 +165,7 @@
         return;
     }
     if (outcome.verdict == task_verdict::succeeded) {
-        recordSuccess(placed.task.kind);
+        m_context.quarantine.recordSuccess(placed.task.kind);
         m_jobs.finishTask(*job, id.index, std::move(outcome.body));
     } else {
         // An agent that was fenced for this ticket refuses its starts with outcomeUnknown, since another entry has answered the job.
@@ -194,18 +195,6 @@
     return true;
 }
 
-// A quarantined kind is released once enough of its tasks have succeeded.
-void task_placer::recordSuccess(std::string_view kind)
-{
-    if (!m_context.quarantine.recordSuccess(kind, m_context.now)) {
-        return;
-    }
-    if (m_context.log.isEnabled()) {
-        m_context.log.write(log_part::place, concat("Released a kind from quarantine. kind=", kind));
-    }
-    m_context.slots.setIsolated(!m_context.quarantine.isEmpty(), m_context.now);
-}
-
 // Returns whether a restartable task is placed again after a run without a result. Counts a failed run.
 bool task_placer::mayRestart(const task_outcome &outcome, task_record &record, const job_record &job) const
 {
@@ -351,8 +340,23 @@
     }
 }
 
+// While suspect tasks wait, their kind stays quarantined, so that they start on the endpoints reserved for them.
+void task_placer::releaseKinds()
+{
+    if (m_context.quarantine.isEmpty() || !m_suspects.isEmpty()) {
+        return;
+    }
+    for (const std::string &kind : m_context.quarantine.release(m_context.now)) {
+        if (m_context.log.isEnabled()) {
+            m_context.log.write(log_part::place, concat("Released a kind from quarantine. kind=", kind));
+        }
+    }
+    m_context.slots.setIsolated(!m_context.quarantine.isEmpty(), m_context.now);
+}
+
 void task_placer::runTimers()
 {
+    releaseKinds();
     while (const auto id = m_revocations.takeDue(m_context.now)) {
         m_placements.find(*id)->timer.reset();
         sendRevocation(*id);
--- a/src/job/task_placer.h
+++ b/src/job/task_placer.h
@@ -106,7 +106,7 @@
     void start(queued_task task, const agent_id &agent, job_record &job);
     void resolve(const task_id &id, task_outcome outcome, std::int32_t credits);
     bool mayRestart(const task_outcome &outcome, task_record &record, const job_record &job) const;
-    void recordSuccess(std::string_view kind);
+    void releaseKinds();
     bool isGivenUp(const task_id &id, const task_outcome &outcome, task_record &record);
     void markAmbiguous(placement &placed);
     void scheduleRevocation(placement &placed, std::chrono::milliseconds delay);
--- a/src/place/kind_quarantine.cpp
+++ b/src/place/kind_quarantine.cpp
@@ -16,7 +16,11 @@
 constexpr std::uint32_t MaxSuccesses = 512;
 
 constexpr milliseconds MinQuietTime{2000}; // All isolated endpoints may be away for this long after a crash.
-constexpr milliseconds MaxQuietTime{15000}; // Releases a kind that this entry receives no jobs of.
+
+// Releases a kind whose jobs are too rare for the successes. The isolated endpoints are back after three seconds, and the other two
+// show whether its tasks still crash them.
+constexpr milliseconds QuietTime{5000};
+constexpr milliseconds MaxQuietTime{20000};
 constexpr milliseconds RelapseTime{30000}; // A kind that is quarantined again within this time needs more successes.
 
 } // namespace
@@ -26,10 +30,13 @@
     bool isExplained = false;
     for (const crash_suspect &suspect : suspects) {
         if (contains(suspect.kind)) {
+            isExplained = true;
+            if (suspect.isRepeated) {
+                continue; // The task was counted at its first crash and says nothing about the jobs that arrive now.
+            }
             state &kind = m_kinds.find(suspect.kind)->second;
             kind.lastCrash = now;
             kind.successes = 0;
-            isExplained = true;
         }
     }
     std::vector<std::string> added;
@@ -46,48 +53,36 @@
 {
     const bool isRelapse = kind.required > 0 && now - kind.releasedAt < RelapseTime;
     kind.required = isRelapse ? std::min(kind.required * 2, MaxSuccesses) : MinSuccesses;
+    kind.quietTime = isRelapse ? std::min(kind.quietTime * 2, MaxQuietTime) : QuietTime;
     kind.isQuarantined = true;
     kind.lastCrash = now;
     kind.successes = 0;
     ++m_quarantined;
 }
 
-bool kind_quarantine::recordSuccess(std::string_view kind, mono_time now)
+void kind_quarantine::recordSuccess(std::string_view kind)
 {
-    if (isEmpty()) {
-        return false;
-    }
-    const auto found = m_kinds.find(kind);
-    if (found == m_kinds.end() || !found->second.isQuarantined) {
-        return false;
-    }
-    if (++found->second.successes < found->second.required || now - found->second.lastCrash < MinQuietTime) {
-        return false;
+    if (contains(kind)) {
+        ++m_kinds.find(kind)->second.successes;
     }
-    release(found->second, now);
-    return true;
 }
 
-bool kind_quarantine::expire(mono_time now)
+std::vector<std::string> kind_quarantine::release(mono_time now)
 {
+    std::vector<std::string> released;
     if (isEmpty()) {
-        return false;
+        return released;
     }
-    bool any = false;
     for (auto &[name, kind] : m_kinds) {
-        if (kind.isQuarantined && now - kind.lastCrash >= MaxQuietTime) {
-            release(kind, now);
-            any = true;
+        const milliseconds quietTime = kind.successes >= kind.required ? MinQuietTime : kind.quietTime;
+        if (kind.isQuarantined && now - kind.lastCrash >= quietTime) {
+            kind.isQuarantined = false;
+            kind.releasedAt = now;
+            --m_quarantined;
+            released.push_back(name);
         }
     }
-    return any;
-}
-
-void kind_quarantine::release(state &kind, mono_time now)
-{
-    kind.isQuarantined = false;
-    kind.releasedAt = now;
-    --m_quarantined;
+    return released;
 }
 
 bool kind_quarantine::contains(std::string_view kind) const
--- a/src/place/kind_quarantine.h
+++ b/src/place/kind_quarantine.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "core/crash_suspect.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -33,17 +34,15 @@
     /**
      * Records a task that succeeded.
      * @param kind its kind
-     * @param now current time
-     * @return whether the kind is thereby released
      */
-    bool recordSuccess(std::string_view kind, mono_time now);
+    void recordSuccess(std::string_view kind);
 
     /**
-     * Releases the kinds that have neither crashed an endpoint nor had enough tasks for a long time.
+     * Releases the kinds that have crashed no endpoint for some time: a shorter one if enough of their tasks have succeeded since.
      * @param now current time
-     * @return whether any kind was released
+     * @return kinds that were released
      */
-    bool expire(mono_time now);
+    std::vector<std::string> release(mono_time now);
 
     /**
      * Checks whether a kind is quarantined.
@@ -61,10 +60,10 @@
         mono_time releasedAt{};
         std::uint32_t successes = 0; ///< Since the last crash.
         std::uint32_t required = 0; ///< Successes after which the kind is released.
+        std::chrono::milliseconds quietTime{}; ///< Time without a crash after which the kind is released in any case.
     };
 
     void quarantine(state &kind, mono_time now);
-    void release(state &kind, mono_time now);
 
     std::map<std::string, state, std::less<>> m_kinds; ///< Bounded by the number of configured kinds.
     std::uint32_t m_quarantined = 0;
