Simulate starts that a crashed endpoint refuses as never started

The simulation reported a start that arrives between a crash and its detection as a run lost in the crash. The run supervisor does not: the connection of such a start is refused. A rack of three that fails at once then gave up a healthy lookup after two crashes within 7 ms (independent_crash_test). The checks are as they were.

--- a/tests/job/overload_simulation_crashes.cpp
+++ b/tests/job/overload_simulation_crashes.cpp
@@ -66,6 +66,12 @@
         outcome.endpointCrashed = true;
         one.ends.push_back({.id = id, .outcome = outcome});
     }
+    for (const task_id &id : one.refusedStarts) {
+        one.ends.push_back({.id = id, .outcome = {.verdict = task_verdict::interrupted, .why = reason::outcomeUnknown, .body = {}, .runTime = {}}});
+    }
+    if (!one.ends.empty()) {
+        one.ends.front().unstarted = std::exchange(one.refusedStarts, {});
+    }
     while (!one.ends.empty()) {
         const call_finished end = one.ends.front();
         one.ends.pop_front();
