Blame at most one kind for the crash of an endpoint

Cause: runs that were lost together are placed together again, so the age of a healthy run matched its earlier one as well as that of the deadly run.

Only the run whose age is closest to its earlier one makes its kind repeated.

--- a/src/agent/crash_suspects.cpp
+++ b/src/agent/crash_suspects.cpp
@@ -9,18 +9,25 @@
 
 void crash_suspects::add(std::string_view kind, std::chrono::milliseconds age, std::optional<std::chrono::milliseconds> earlierCrash)
 {
-    bool &isRepeated = m_isRepeated[std::string(kind)];
-    isRepeated = isRepeated || (earlierCrash && isSameCrashAge(*earlierCrash, age));
+    m_kinds.emplace(kind);
     m_youngestAge = m_runs == 0 ? age : std::min(m_youngestAge, age);
     ++m_runs;
+    if (!earlierCrash || !isSameCrashAge(*earlierCrash, age)) {
+        return;
+    }
+    const std::chrono::milliseconds difference = std::max(age, *earlierCrash) - std::min(age, *earlierCrash);
+    if (m_repeated.empty() || difference < m_difference) {
+        m_repeated = kind;
+        m_difference = difference;
+    }
 }
 
 std::vector<crash_suspect> crash_suspects::list() const
 {
     std::vector<crash_suspect> suspects;
-    suspects.reserve(m_isRepeated.size());
-    for (const auto &[kind, isRepeated] : m_isRepeated) {
-        suspects.push_back({.kind = kind, .isRepeated = isRepeated});
+    suspects.reserve(m_kinds.size());
+    for (const std::string &kind : m_kinds) {
+        suspects.push_back({.kind = kind, .isRepeated = kind == m_repeated});
     }
     return suspects;
 }
--- a/src/agent/crash_suspects.h
+++ b/src/agent/crash_suspects.h
@@ -5,8 +5,8 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
-#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,7 +14,10 @@
 namespace teaselward
 {
 
-/** Kinds that may have crashed an endpoint, collected from the runs that were lost with it. */
+/**
+ * Kinds that may have crashed an endpoint, collected from the runs that were lost with it. At most one kind is repeated: runs that were
+ * lost together are often started together again, and then the ages of all of them are alike.
+ */
 class crash_suspects
 {
 public:
@@ -36,7 +39,9 @@
     std::chrono::milliseconds youngestAge() const;
 
 private:
-    std::map<std::string, bool, std::less<>> m_isRepeated; ///< By kind.
+    std::set<std::string, std::less<>> m_kinds;
+    std::string m_repeated; ///< Kind of the run whose age is closest to that of its earlier crash; empty if none is close.
+    std::chrono::milliseconds m_difference{}; ///< Difference of these ages.
     std::size_t m_runs = 0;
     std::chrono::milliseconds m_youngestAge{};
 };
--- a/tests/agent/crash_suspects_test.cpp
+++ b/tests/agent/crash_suspects_test.cpp
@@ -40,6 +40,20 @@
     BOOST_TEST(!kinds[1].isRepeated);
 }
 
+// Guards against a second kind that is blamed because its run was lost beside the deadly one and was started beside it again.
+BOOST_AUTO_TEST_CASE(onlyTheClosestAgeIsRepeated)
+{
+    crash_suspects suspects;
+    suspects.add("check", 13ms, 24ms);
+    suspects.add("lookup", 13ms, 12ms);
+    suspects.add("order", 15ms, 30ms);
+    const std::vector<crash_suspect> kinds = suspects.list();
+    BOOST_REQUIRE(kinds.size() == 3U);
+    BOOST_TEST(!kinds[0].isRepeated);
+    BOOST_TEST(kinds[1].isRepeated);
+    BOOST_TEST(!kinds[2].isRepeated);
+}
+
 // Guards against an undefined age if no run had started.
 BOOST_AUTO_TEST_CASE(isEmptyWithoutARun)
 {
