Check for silence before every input of the run supervisor

Cause: only the timers checked whether the last lease had expired without an answer. After a pause of its thread an answer or an order that had waited came first, counted as contact, and extended the lease.

Every input checks it first now; by then all runs have lapsed, so nothing is lost by it. An order from before the pause is reported as not started. The new cases of run_supervisor_test were not run on the code before.

--- a/src/agent/run/run_supervisor.cpp
+++ b/src/agent/run/run_supervisor.cpp
@@ -44,7 +44,7 @@
 
 void run_supervisor::start(const call_endpoint &order, mono_time now)
 {
-    if (d->lost || !d->ready || d->hasRunOfTask(order)) {
+    if (d->detectSilence(now) || d->lost || !d->ready || d->hasRunOfTask(order)) {
         d->ends.push_back({.id = order.id, .outcome = {.verdict = task_verdict::notStarted, .why = reason::overloaded, .body = {}, .runTime = {}}});
         return;
     }
@@ -71,6 +71,9 @@
 // now on decides.
 void run_supervisor::startAnswered(const run_id &id, call_result result, mono_time now)
 {
+    if (d->detectSilence(now)) {
+        return;
+    }
     const auto found = d->runs.find(id);
     if (result == call_result::endpointRestarted || result == call_result::unreachable) {
         d->markCrashed(result, now);
@@ -119,6 +122,9 @@
 
 void run_supervisor::stopAnswered(const run_id &id, call_result result, mono_time now)
 {
+    if (d->detectSilence(now)) {
+        return;
+    }
     if (result == call_result::endpointRestarted || result == call_result::unreachable) {
         d->markCrashed(result, now);
         return;
@@ -142,6 +148,9 @@
 
 void run_supervisor::listed(const list_runs_result &lists, mono_time now)
 {
+    if (d->detectSilence(now)) {
+        return;
+    }
     d->newestEnded = std::max(d->newestEnded, lists.number);
     if (lists.result == call_result::fenced) {
         d->raiseToken(now);
@@ -180,10 +189,7 @@
     if (d->lost) {
         return;
     }
-    // Without contact the lease is not renewed, so all runs have ended once the last lease sent has expired. The margin of a
-    // twentieth allows for a slow endpoint clock.
-    if (now - d->lastContact > d->settings.contactTimeout && now > d->latestLeaseEnd + d->settings.lease / 20) {
-        d->markLost("no answer", now);
+    if (d->detectSilence(now)) {
         return;
     }
     bool repeatsStops = false;
--- a/src/agent/run/run_supervisor_private.cpp
+++ b/src/agent/run/run_supervisor_private.cpp
@@ -243,6 +243,17 @@
     runs.erase(found);
 }
 
+// Without contact the lease is not renewed, so all runs have ended once the last lease sent has expired. The margin of a twentieth
+// allows for a slow endpoint clock. Every input checks this first: after a pause of this thread, an answer or an order that waited must
+// not renew the lease of runs that have been started elsewhere meanwhile. Returns whether the endpoint is lost.
+bool run_supervisor_private::detectSilence(mono_time now)
+{
+    if (now - lastContact > settings.contactTimeout && now > latestLeaseEnd + settings.lease / 20) {
+        markLost("no answer", now);
+    }
+    return lost;
+}
+
 // The instance has ended. A silent endpoint is not treated as crashed, because it may only be slow.
 void run_supervisor_private::markCrashed(call_result result, mono_time now)
 {
--- a/src/agent/run/run_supervisor_private.h
+++ b/src/agent/run/run_supervisor_private.h
@@ -35,6 +35,7 @@
     void checkProgress(supervised_run &run, const run_progress &progress, mono_time now);
     void logRun(std::string_view sentence, const supervised_run &run, std::string_view why = {});
     void finish(const run_id &id, task_verdict verdict, reason why, mono_time now);
+    bool detectSilence(mono_time now);
     void markCrashed(call_result result, mono_time now);
     void markLost(std::string_view why, mono_time now);
     void raiseToken(mono_time now);
--- a/tests/agent/run/run_supervisor_test.cpp
+++ b/tests/agent/run/run_supervisor_test.cpp
@@ -432,6 +432,36 @@
     BOOST_TEST((endpoint.starts[2].leaseEnd <= bound));
 }
 
+// Guards against an order that waited while the agent was frozen and begins after its home has placed the task elsewhere.
+BOOST_AUTO_TEST_CASE(anOrderFromBeforeAPauseStartsNothing)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.now += 2500ms;
+    endpoint.order();
+    BOOST_TEST(endpoint.starts.empty());
+    BOOST_TEST((endpoint.outcome()->verdict == task_verdict::notStarted));
+    BOOST_TEST(endpoint.supervisor.isLost());
+}
+
+// Guards against a lease that is renewed by an answer that waited while the agent was frozen, after its runs were started elsewhere.
+BOOST_AUTO_TEST_CASE(anAnswerFromBeforeAPauseRenewsNoLease)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.order();
+    endpoint.supervisor.startAnswered(run(), call_result::accepted, endpoint.now);
+    endpoint.collect();
+    const std::vector<list_runs> pending = std::exchange(endpoint.lists, {});
+    BOOST_REQUIRE(!pending.empty());
+    endpoint.now += 2500ms;
+    endpoint.answerList(pending.back(), {{.id = run(), .percent = 1}}, {});
+    endpoint.collect();
+    BOOST_TEST(endpoint.lists.empty());
+    BOOST_TEST(endpoint.supervisor.isLost());
+    BOOST_TEST((endpoint.outcome()->verdict == task_verdict::interrupted));
+}
+
 // Guards against a run that begins after its stop was requested, because its refused start is repeated with a higher attempt.
 BOOST_AUTO_TEST_CASE(aStartIsNotRepeatedAfterItsStop)
 {
--- a/tests/chain/two_runs_after_a_freeze_test.cpp
+++ b/tests/chain/two_runs_after_a_freeze_test.cpp
@@ -23,4 +23,12 @@
     }
 }
 
+// Guards against a start from before the freeze of its agent that begins late, since the agent renews the lease when it goes on.
+BOOST_AUTO_TEST_CASE(aLateStartFromBeforeAFreezeOfItsAgentStaysRefused)
+{
+    chain_simulation simulation(400, {.perSecond = 1, .lateOrders = 0.5, .lostAnswers = 0.05, .lateLists = 0.05});
+    simulation.run(20s);
+    BOOST_TEST(simulation.overlaps().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/chain/two_runs_open_test.cpp
+++ b/tests/chain/two_runs_open_test.cpp
@@ -18,12 +18,4 @@
     BOOST_TEST(lost.overlaps().empty());
 }
 
-// Guards against a start from before the freeze of its agent that begins late, since the agent renews the lease when it goes on.
-BOOST_AUTO_TEST_CASE(aLateStartFromBeforeAFreezeOfItsAgentStaysRefused)
-{
-    chain_simulation simulation(400, {.perSecond = 1, .lateOrders = 0.5, .lostAnswers = 0.05, .lateLists = 0.05});
-    simulation.run(20s);
-    BOOST_TEST(simulation.overlaps().empty());
-}
-
 BOOST_AUTO_TEST_SUITE_END()
