Start nothing at an endpoint whose lease is held back

What callers would see: while a stop gets no answer, further starts went out with the last lease that was sent, which had nearly or fully expired. Their runs lapsed at once, or the worker refused them, and each then needed a stop of its own. Found by review; not measured.

The agent reports such an order as not started, and the entry places it elsewhere.

--- a/src/agent/run/run_supervisor.cpp
+++ b/src/agent/run/run_supervisor.cpp
@@ -44,7 +44,8 @@
 
 void run_supervisor::start(const call_endpoint &order, mono_time now)
 {
-    if (d->detectSilence(now) || d->lost || !d->ready || d->hasRunOfTask(order)) {
+    // While the lease is held back, a run could be lost with it at any moment, or the endpoint would refuse its expired lease.
+    if (d->detectSilence(now) || !d->ready || d->isLeaseHeldBack(now) || d->hasRunOfTask(order)) {
         d->ends.push_back({.id = order.id, .outcome = {.verdict = task_verdict::notStarted, .why = reason::overloaded, .body = {}, .runTime = {}}});
         return;
     }
