Wait for the longest run of a lost agent

With the bound a run ends at most 1403 ms after the home has lost the agent (650 for the lease of the session, 90 and 663 for the run), still more than 1300.

The home waits 1450 ms. run_bound_test fails with 1300. waitsForTheLeasesOfALostAgent checks 10 ms before the new bound and 50 ms after it, as it did with the former one.

--- a/src/job/entry_core_settings.h
+++ b/src/job/entry_core_settings.h
@@ -20,7 +20,11 @@
      */
     std::chrono::milliseconds resumeDelay = std::chrono::milliseconds(250);
     std::chrono::milliseconds revokeRetryDelay = std::chrono::milliseconds(100); ///< First delay between two revocations of a task, and of other retries.
-    std::chrono::milliseconds lostRunTimeout = std::chrono::milliseconds(1300); ///< Time after which a run at a lost agent is known to have ended.
+    /**
+     * Time after which a run at a lost agent is known to have ended. The agent notices the loss up to 650 ms later, renews the lease for
+     * another 90 ms if its stops get no answer, and the lease ends after 663 ms at a slow clock.
+     */
+    std::chrono::milliseconds lostRunTimeout = std::chrono::milliseconds(1450);
     std::chrono::milliseconds usageReportInterval = std::chrono::seconds(1); ///< Interval between reports of the workspace quota usage to the other entries.
     std::uint32_t maxTicketsPerRequest = 1000; ///< Maximum number of tickets per request.
     std::string strategy = "credits"; ///< Name of the placement strategy.
