--- a/src/metrics/run_metrics.cpp
+++ b/src/metrics/run_metrics.cpp
@@ -82,7 +82,7 @@
     }
     writer.family("teaselward_unanswered_calls_total", "counter", "Calls to the endpoint without an answer.");
     writer.sample("teaselward_unanswered_calls_total", {}, static_cast<double>(d->unanswered));
-    writer.family("teaselward_endpoint_lives_total", "counter", "Lives of the endpoint that were adopted.");
+    writer.family("teaselward_endpoint_lives_total", "counter", "Instances of the endpoint that were adopted.");
     writer.sample("teaselward_endpoint_lives_total", {}, static_cast<double>(d->instances));
     writer.family("teaselward_endpoint_crashes_total", "counter", "Lives of the endpoint that ended while runs were in progress.");
     writer.sample("teaselward_endpoint_crashes_total", {}, static_cast<double>(d->crashes));
