Take only a refused connection for the end of a worker

What callers would see: any failure to connect, such as a lack of local ports, ended all runs of the worker for its agent; the home started them elsewhere at once, while they could live for 663 ms more, and each counted as lost in a crash.

Only ECONNREFUSED shows that nothing listens; other errors count as a call without an answer.

--- a/src/platform/worker_exchange.cpp
+++ b/src/platform/worker_exchange.cpp
@@ -3,6 +3,7 @@
 #include "http/http_error.h"
 #include "platform/run_codec.h"
 
+#include <cerrno>
 #include <system_error>
 #include <utility>
 
@@ -135,13 +136,21 @@
 call_result worker_exchange::result(CURLcode result) const
 {
     if (result == CURLE_COULDNT_CONNECT) {
-        return call_result::unreachable;
+        long osError = 0;
+        curl_easy_getinfo(d->handle, CURLINFO_OS_ERRNO, &osError);
+        return connectionFailure(osError);
     }
     long status = 0;
     curl_easy_getinfo(d->handle, CURLINFO_RESPONSE_CODE, &status);
     return result == CURLE_OK ? decodeResult(status, d->response) : call_result::unanswered;
 }
 
+// Other errors, such as a lack of local ports or descriptors or a timeout, say nothing about the worker, whose runs may go on.
+call_result worker_exchange::connectionFailure(long osError)
+{
+    return osError == ECONNREFUSED ? call_result::unreachable : call_result::unanswered;
+}
+
 const std::string &worker_exchange::body() const
 {
     return d->response;
--- a/src/platform/worker_exchange.h
+++ b/src/platform/worker_exchange.h
@@ -51,6 +51,13 @@
      */
     call_result result(CURLcode result) const;
 
+    /**
+     * Evaluates a connection that could not be made.
+     * @param osError error number of the system call that failed
+     * @return unreachable if the connection was refused, so that nothing listens at the address; otherwise unanswered
+     */
+    static call_result connectionFailure(long osError);
+
     /** @return body of the response */
     const std::string &body() const;
 
