--- a/src/job/crash_history.cpp
+++ b/src/job/crash_history.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-// A run is lost to a crash of another cause so rarely that three in a row leave no doubt about the task.
+// Bounds the endpoints that a task can crash at different ages of its run; a healthy task is rarely lost with three endpoints in a row.
 constexpr std::uint32_t MaxCrashes = 3;
 
 } // namespace
--- a/src/place/kind_quarantine.cpp
+++ b/src/place/kind_quarantine.cpp
@@ -11,7 +11,7 @@
 
 using std::chrono::milliseconds;
 
-// Eight jobs of eight tasks. If one job in ten is deadly, half of such runs end with a crash, so the number doubles each time.
+// Eight jobs of eight tasks. A kind with few jobs that crash endpoints can pass this by chance, so the number doubles with each relapse.
 constexpr std::uint32_t MinSuccesses = 64;
 constexpr std::uint32_t MaxSuccesses = 512;
 
@@ -34,7 +34,7 @@
             if (suspect.isRepeated) {
                 continue; // The task was counted at its first crash and says nothing about the jobs that arrive now.
             }
-            state &kind = m_kinds.find(suspect.kind)->second;
+            quarantine_record &kind = m_kinds.find(suspect.kind)->second;
             kind.lastCrash = now;
             kind.successes = 0;
         }
@@ -49,7 +49,7 @@
     return added;
 }
 
-void kind_quarantine::quarantine(state &kind, mono_time now)
+void kind_quarantine::quarantine(quarantine_record &kind, mono_time now)
 {
     const bool isRelapse = kind.required > 0 && now - kind.releasedAt < RelapseTime;
     kind.required = isRelapse ? std::min(kind.required * 2, MaxSuccesses) : MinSuccesses;
--- a/src/place/kind_quarantine.h
+++ b/src/place/kind_quarantine.h
@@ -2,8 +2,8 @@
 
 #include "base/clock.h"
 #include "core/crash_suspect.h"
+#include "place/quarantine_record.h"
 
-#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -14,9 +14,9 @@
 {
 
 /**
- * Kinds whose tasks crash endpoints. A tenth of a kind's jobs can take down all endpoints within two seconds, and with them every
- * other kind, because each crash keeps an endpoint away for seconds. Tasks of a quarantined kind are therefore placed only on a few
- * isolated endpoints. A kind is quarantined when one of its tasks has crashed a second endpoint, and released once enough of its tasks
+ * Kinds whose tasks crash endpoints. Each crash ends the runs of all kinds there and keeps the endpoint away for seconds, so a few such
+ * jobs a second can take all endpoints from the other kinds. Tasks of a quarantined kind are therefore placed only on a few isolated
+ * endpoints. A kind is quarantined when one of its tasks has crashed a second endpoint, and released once enough of its tasks
  * have succeeded without another crash.
  */
 class kind_quarantine
@@ -54,18 +54,9 @@
     bool isEmpty() const;
 
 private:
-    struct state {
-        bool isQuarantined = false;
-        mono_time lastCrash{}; ///< Last crash of an endpoint that ran the kind while it was quarantined.
-        mono_time releasedAt{};
-        std::uint32_t successes = 0; ///< Since the last crash.
-        std::uint32_t required = 0; ///< Successes after which the kind is released.
-        std::chrono::milliseconds quietTime{}; ///< Time without a crash after which the kind is released in any case.
-    };
+    void quarantine(quarantine_record &kind, mono_time now);
 
-    void quarantine(state &kind, mono_time now);
-
-    std::map<std::string, state, std::less<>> m_kinds; ///< Bounded by the number of configured kinds.
+    std::map<std::string, quarantine_record, std::less<>> m_kinds; ///< Bounded by the number of configured kinds.
     std::uint32_t m_quarantined = 0;
 };
 
