--- a/src/place/slot_table_private.cpp
+++ b/src/place/slot_table_private.cpp
@@ -92,7 +92,7 @@
             }
         }
         std::ranges::sort(addresses);
-        addresses.erase(std::ranges::unique(addresses).begin(), addresses.end());
+        addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
         lanes = planIsolation(addresses);
     }
     for (std::size_t index = 0; index < endpoints.size(); ++index) {
