--- a/review/support/standins.h
+++ b/review/support/standins.h
@@ -867,14 +867,14 @@
         }
     }
 
-    static json config(int version)
+    static json config(int version, int timeoutMs = 1500)
     {
-        const auto route = [](const char *name, const char *prefix, int priority) {
+        const auto route = [timeoutMs](const char *name, const char *prefix, int priority) {
             return json{{"Name", name},
                         {"Host", "desk.example"},
                         {"PathPrefix", prefix},
                         {"Type", "non_idempotent"},
-                        {"TimeoutMs", 1500},
+                        {"TimeoutMs", timeoutMs},
                         {"TargetCompletionMs", 60},
                         {"Priority", priority},
                         {"Service", "register"},
