Review case 3: a heartbeat of another writer makes the agent ignore that its worker drains

Case: one heartbeat with fields of another type (Labels, ClockMs, Version) and a higher Sequence names the worker; later the worker says that it is draining and gets 200. Tasks are started there for 10 s more (DRAIN: DrainMs after the acknowledgement). Cause: decodeHeartbeat() does not check the fields that the agent does not use, endpoint_watch takes the foreign Sequence as the newest, and heartbeats are acknowledged before it is known whether they count.

--- a/review/support/standins.h
+++ b/review/support/standins.h
@@ -468,19 +468,14 @@
         m_late = std::move(late);
     }
 
-    /** Announces 'draining' at once and from now on. */
-    int drain()
+    int agentPort() const
     {
-        m_draining = true;
-        return sendBeat();
+        return m_agentPort;
     }
 
-    int sendBeat()
+    /** What the worker says of itself in a heartbeat, without its sequence number. */
+    json announcement() const
     {
-        const int fd = connectTo(m_agentPort);
-        if (fd < 0) {
-            return 0;
-        }
         json body{{"Service", "register"},
                   {"Address", addressOf(m_port)},
                   {"Zone", "zone-a"},
@@ -491,11 +486,28 @@
                   {"Capacity", {{"Cpu", 32000}, {"MemMb", 131072}, {"Gpu", 0}}},
                   {"Labels", json::array({"a", "r1-1"})},
                   {"ClockMs", clock()},
-                  {"born", m_born},
-                  {"Sequence", ++m_sequence}};
+                  {"born", m_born}};
         if (m_draining) {
             body["RemainingMs"] = 10000;
         }
+        return body;
+    }
+
+    /** Announces 'draining' at once and from now on. Returns the status of the answer. */
+    int drain()
+    {
+        m_draining = true;
+        return sendBeat();
+    }
+
+    int sendBeat()
+    {
+        const int fd = connectTo(m_agentPort);
+        if (fd < 0) {
+            return 0;
+        }
+        json body = announcement();
+        body["Sequence"] = ++m_sequence;
         const std::string text = body.dump();
         sendAll(fd,
                 "PUT /teaselward/instances/" + m_name + " HTTP/1.1\r\nHost: agent\r\nContent-Type: application/json\r\nContent-Length: "
