--- a/review/1/freeze.cpp
+++ b/review/1/freeze.cpp
@@ -52,17 +52,14 @@
 {
     record output(std::getenv("RECORD") != nullptr ? std::getenv("RECORD") : "record.txt");
     int broken = 0;
-    {
-        deployment system(2, 4, output);
-        if (!system.waitUntilServing()) {
-            output.line("the deployment did not serve in time");
-            return 2;
-        }
-        for (unsigned round = 0; round < Rounds && broken == 0; ++round) {
-            broken = playRound(system, round, output);
-        }
-        output.line(broken > 0 ? "result: TWICE is broken" : "result: TWICE holds");
+    deployment &system = *new deployment(2, 4, output);
+    if (!system.waitUntilServing()) {
+        output.line("the deployment did not serve in time");
+        finish(system, 2);
     }
-    std::fflush(nullptr);
-    ::_exit(broken > 0 ? 1 : 0);
+    for (unsigned round = 0; round < Rounds && broken == 0; ++round) {
+        broken = playRound(system, round, output);
+    }
+    output.line(broken > 0 ? "result: TWICE is broken" : "result: TWICE holds");
+    finish(system, broken > 0 ? 1 : 0);
 }
--- a/review/support/standins.h
+++ b/review/support/standins.h
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -722,6 +723,7 @@
     {
         m_pid = ::fork();
         if (m_pid == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // No program outlives the script.
             const int out = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
@@ -870,7 +872,11 @@
         }
     }
 
-    ~deployment()
+    /**
+     * Ends all processes and removes the temporary folder. The stand-ins go on in their threads until the script ends, so a deployment
+     * is never destroyed.
+     */
+    void end()
     {
         agent.clear();
         entry.clear();
@@ -986,6 +992,14 @@
     return found;
 }
 
+/** Ends the processes and the script at once, while the threads of the stand-ins still run. */
+[[noreturn]] inline void finish(deployment &system, int status)
+{
+    system.end();
+    std::fflush(nullptr);
+    ::_exit(status);
+}
+
 inline bool isTrouble()
 {
     const char *value = std::getenv("TROUBLE");
