Start the tasks of a client only on dated evidence that it waits

An entry that froze for seconds with nothing placed read the requests that had waited in its sockets when it went on, and started their tasks. Their clients had left at their deadline and had submitted the jobs to another entry, which was running them.

Cause: the age of a submission was counted from the moment it was read. The belief that its client still waits rested on a check every 200 ms, and on a wait of 250 ms after a pause. The pause was noticed only while starts were outstanding, and the wait ordered nothing: a listener that reads later than that led to the same starts. A check could also report the end of a connection before the submission was in the ring; the end was then lost. A start that waits in the ring of the RPC thread had no bound but the lease of its session.

Change: a submission carries the time at which its connection was seen open, taken before the look, and is dropped if the client has closed it. Each check of all connections is an event with the time at which it began, and covers only requests that are in the ring. A task is placed only if its caller was seen in the last 450 ms, and its start is returned instead of sent 550 ms after that. The wait after a pause is gone.

Why it works: a start can't leave an entry more than 550 ms after the connection was known to be open. Every step dates its evidence before it looks, so a pause between any two steps makes it older, never newer.

--- a/src/http/event_dispatcher.h
+++ b/src/http/event_dispatcher.h
@@ -51,7 +51,9 @@
             if (const auto request = m_pending.take(*number)) {
                 resumeExchange(*request->exchange, encodeRefusal(reason::overloaded, refusedNotRun, {}));
             }
+            return false;
         }
+        m_pending.markPosted(*number);
         return false;
     }
 
--- a/src/http/pending_request.h
+++ b/src/http/pending_request.h
@@ -12,6 +12,7 @@
     http_exchange *exchange = nullptr;
     job_answer unanswered; ///< Answer if the front end stops before the decision thread has answered.
     status_view view = status_view::full; ///< View of the entry's status, if that is requested.
+    bool isPosted = false; ///< The decision thread gets the request before all later events.
     bool isAbandoned = false; ///< The caller has closed the connection.
 };
 
--- a/src/http/pending_requests.cpp
+++ b/src/http/pending_requests.cpp
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace teaselward
@@ -55,18 +56,33 @@
     return request;
 }
 
-// libmicrohttpd does not monitor suspended connections. The lock keeps them from being resumed during the check.
-std::vector<std::uint64_t> pending_requests::takeAbandoned()
+void pending_requests::markPosted(std::uint64_t number)
 {
     const absl::MutexLock lock(&d->mutex);
-    std::vector<std::uint64_t> found;
+    if (const auto found = d->waiting.find(number); found != d->waiting.end()) {
+        found->second.isPosted = true;
+    }
+}
+
+// libmicrohttpd does not monitor suspended connections. The lock keeps them from being resumed during the check. The time is taken
+// first: if the process is paused during the check, the result is as old as the pause.
+connection_check pending_requests::checkConnections()
+{
+    connection_check result{.checkedAt = mono_clock::now(), .lastRequest = 0, .closed = {}};
+    const absl::MutexLock lock(&d->mutex);
+    if (d->waiting.empty()) {
+        return result;
+    }
+    result.lastRequest = d->lastNumber;
     for (auto &[number, request] : d->waiting) {
-        if (!request.isAbandoned && isClosedByPeer(*request.exchange)) {
+        if (!request.isPosted) {
+            result.lastRequest = std::min(result.lastRequest, number - 1);
+        } else if (!request.isAbandoned && isClosedByPeer(*request.exchange)) {
             request.isAbandoned = true;
-            found.push_back(number);
+            result.closed.push_back(number);
         }
     }
-    return found;
+    return result;
 }
 
 std::vector<pending_request> pending_requests::close()
--- a/src/http/pending_requests.h
+++ b/src/http/pending_requests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/connection_check.h"
 #include "http/pending_request.h"
 
 #include <cstdint>
@@ -43,10 +44,17 @@
     std::optional<pending_request> take(std::uint64_t number);
 
     /**
-     * Finds the requests whose callers have closed their connections; each is returned once.
-     * @return their numbers
+     * Marks a request whose event is in the ring of the decision thread. checkConnections() ignores it before, because the decision
+     * thread would learn that the caller has left before it learns of the request.
+     * @param number number of the request
+     */
+    void markPosted(std::uint64_t number);
+
+    /**
+     * Checks which callers have closed their connections.
+     * @return the result
      */
-    std::vector<std::uint64_t> takeAbandoned();
+    connection_check checkConnections();
 
     /**
      * Accepts no further requests and removes all.
--- a/src/job/entry_context.h
+++ b/src/job/entry_context.h
@@ -6,6 +6,7 @@
 #include "core/rule_set.h"
 #include "core/task_id.h"
 #include "core/ticket_id.h"
+#include "job/caller_presence.h"
 #include "job/entry_action.h"
 #include "job/entry_core_settings.h"
 #include "job/job_random.h"
@@ -96,6 +97,7 @@
     task_queue queue;
     slot_table slots;
     kind_quarantine quarantine;
+    caller_presence callers;
     std::shared_ptr<const rule_set> rules; ///< Null until the first configuration is applied.
     std::map<std::string, std::string, std::less<>> services; ///< Service of each kind that is placed by service.
     std::vector<task_id> obsolete; ///< Placed tasks of restartable jobs that have been answered; their runs are to be stopped.
--- a/src/job/entry_core_events.cpp
+++ b/src/job/entry_core_events.cpp
@@ -34,7 +34,7 @@
 {
     job_request job = event.job;
     job.source = m_tickets.issue(1, m_context.now).front();
-    m_jobs.submit(event.request, std::move(job));
+    m_jobs.submit(event.request, std::move(job), event.callerSeenAt);
 }
 
 void entry_core_private::onRequestAbandoned(const request_abandoned &event)
@@ -42,6 +42,11 @@
     m_jobs.abandon(event.request);
 }
 
+void entry_core_private::onCallersChecked(const callers_checked &event)
+{
+    m_context.callers.recordCheck(event.checkedAt, event.lastRequest);
+}
+
 void entry_core_private::onJobQueried(const job_queried &event)
 {
     if (m_tickets.isHome(event.source)) {
--- a/src/job/entry_core_private.cpp
+++ b/src/job/entry_core_private.cpp
@@ -50,6 +50,7 @@
         &core::call<&core::onJobSubmitted, job_submitted>,
         &core::call<&core::onKeyedJobSubmitted, keyed_job_submitted>,
         &core::call<&core::onRequestAbandoned, request_abandoned>,
+        &core::call<&core::onCallersChecked, callers_checked>,
         &core::call<&core::onJobQueried, job_queried>,
         &core::call<&core::onJobCancelled, job_cancelled>,
         &core::call<&core::onAgentJoined, agent_joined>,
@@ -76,14 +77,14 @@
     runTimers();
     (this->*handlers.at(event.index()))(event);
     m_placer.stopObsolete();
-    const std::size_t placed = now >= m_resumeAt ? m_placer.placeAll() : 0;
-    m_demand.update(placed, m_agents);
+    m_demand.update(m_placer.placeAll(), m_agents);
     finishDrainIfIdle();
     m_context.actions = nullptr;
 }
 
 // After a pause longer than the session lease, agents may have closed their sessions, and another entry may have fenced tickets
-// whose starts are outstanding. All starts are revoked before anything is placed again.
+// whose starts are outstanding. All starts are revoked before anything is placed again. Jobs whose callers may have left meanwhile
+// need no detection of pauses, because a start depends on the age of the last check of the connection.
 void entry_core_private::detectPause(mono_time now)
 {
     if (m_placer.outstanding() > 0 && now - m_context.now > m_context.settings.sessionLease) {
@@ -94,7 +95,6 @@
                 concat("Decision thread was paused beyond the session lease; revoking all starts. gap_ms=", gap.count(), " starts=", m_placer.outstanding()));
         }
         m_context.now = now;
-        m_resumeAt = now + m_context.settings.resumeDelay;
         m_placer.sessionsExpired();
     }
 }
@@ -111,9 +111,8 @@
 mono_time entry_core_private::nextDue() const
 {
     mono_time due = std::min({m_jobs.nextDue(), m_placer.nextDue(), m_recoveries.nextDue(), m_forwarder.nextDue(), m_quotas.nextDue(), m_demand.nextDue()});
-    if (m_context.queue.size() > 0) {
-        const bool isPlacing = m_context.now >= m_resumeAt;
-        due = std::min(due, isPlacing ? std::max(m_context.slots.nextDue(), m_context.now + MinSlotDelay) : m_resumeAt);
+    if (m_context.queue.size() > 0 && !m_placer.isWaitingForCheck()) {
+        due = std::min(due, std::max(m_context.slots.nextDue(), m_context.now + MinSlotDelay));
     }
     if (m_placer.outstanding() > 0) {
         due = std::min(due, m_context.now + m_context.settings.sessionLease / CallsPerLease);
--- a/src/job/entry_core_private.h
+++ b/src/job/entry_core_private.h
@@ -40,6 +40,7 @@
     void onJobSubmitted(const job_submitted &event);
     void onKeyedJobSubmitted(const keyed_job_submitted &event);
     void onRequestAbandoned(const request_abandoned &event);
+    void onCallersChecked(const callers_checked &event);
     void onJobQueried(const job_queried &event);
     void onJobCancelled(const job_cancelled &event);
     void onAgentJoined(const agent_joined &event);
@@ -74,7 +75,6 @@
     agent_directory m_agents;
     demand_sender m_demand;
     quota_exchange m_quotas;
-    mono_time m_resumeAt{}; ///< No task is placed before.
     std::optional<mono_time> m_drainEnd; ///< Set while the entry is draining.
     bool m_isDrained = false;
 };
--- a/src/job/entry_core_settings.h
+++ b/src/job/entry_core_settings.h
@@ -15,10 +15,12 @@
     std::chrono::milliseconds ticketLifetime = std::chrono::minutes(10);
     std::chrono::milliseconds sessionLease = std::chrono::seconds(2); ///< After a longer pause of the decision thread all starts are revoked.
     /**
-     * Time after such a pause during which no task is placed. By then the front end, which checks every 200 ms, has reported the
-     * callers that left meanwhile; they may have submitted their jobs to other entries.
+     * Maximum age of the evidence that the caller of a job waits here when a task is placed, and when its start is sent. The front end
+     * checks the connections every 200 ms. The second limit, the lease of a session (600 ms), the interval of its check (50 ms) and the
+     * time that a stop takes (50 ms) end a run before the caller may submit its job to another entry, 1300 ms after the connection broke.
      */
-    std::chrono::milliseconds resumeDelay = std::chrono::milliseconds(250);
+    std::chrono::milliseconds placeEvidenceLimit = std::chrono::milliseconds(450);
+    std::chrono::milliseconds sendEvidenceLimit = std::chrono::milliseconds(550);
     std::chrono::milliseconds revokeRetryDelay = std::chrono::milliseconds(100); ///< First delay between two revocations of a task, and of other retries.
     /**
      * Time after which a run at a lost agent is known to have ended. The agent notices the loss up to 650 ms later, renews the lease for
--- a/src/job/entry_event.h
+++ b/src/job/entry_event.h
@@ -3,6 +3,7 @@
 #include "job/event/agent_joined.h"
 #include "job/event/agent_leaving.h"
 #include "job/event/agent_lost.h"
+#include "job/event/callers_checked.h"
 #include "job/event/credits_granted.h"
 #include "job/event/drain_started.h"
 #include "job/event/endpoint_crashed.h"
@@ -34,6 +35,7 @@
                                  job_submitted,
                                  keyed_job_submitted,
                                  request_abandoned,
+                                 callers_checked,
                                  job_queried,
                                  job_cancelled,
                                  agent_joined,
--- a/src/job/event/keyed_job_submitted.h
+++ b/src/job/event/keyed_job_submitted.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "core/job_request.h"
 #include "core/request_id.h"
 
@@ -10,6 +11,7 @@
 struct keyed_job_submitted {
     request_id request;
     job_request job; ///< Its ticket is empty; the entry issues one.
+    mono_time callerSeenAt{}; ///< Time at which the caller's connection was known to be open. Used for platform clients only.
 };
 
 } // namespace teaselward
--- a/src/job/job_manager.cpp
+++ b/src/job/job_manager.cpp
@@ -23,14 +23,14 @@
 }
 
 // A resubmission is answered before the checks for new jobs, so that none of them can refuse a job that was already accepted.
-void job_manager::submit(const request_id &request, job_request job)
+void job_manager::submit(const request_id &request, job_request job, mono_time callerSeenAt)
 {
     const reason verdict = m_tickets.check(job.source, m_context.now);
     if (verdict == reason::badTicket) {
         m_context.reply(request, job.source.id, refusal(verdict));
         return;
     }
-    if (answerResubmission(request, job)) {
+    if (answerResubmission(request, job, callerSeenAt)) {
         return;
     }
     if (verdict != reason::none || m_table.wasEvicted(job.source.id.sequence)) {
@@ -42,7 +42,7 @@
         return;
     }
     const request_digest digest = digestOf(job);
-    if (joinByKey(request, job, digest)) {
+    if (joinByKey(request, job, digest, callerSeenAt)) {
         return;
     }
     admission_decision decision = m_admission.decide(job);
@@ -58,11 +58,14 @@
         m_context.reply(request, job.source.id, *std::move(refused));
         return;
     }
-    create(request, std::move(job), digest, decision.startTimeout);
+    const ticket_id id = job.source.id;
+    job_record &record = create(std::move(job), digest, decision.startTimeout);
+    record.needsCaller = caller_presence::isRequired(request);
+    m_waiters.add(record, request, id, std::nullopt, callerSeenAt);
 }
 
 // Answers a resubmission or lets it wait for its job. Returns false if the ticket has no job yet.
-bool job_manager::answerResubmission(const request_id &request, const job_request &job)
+bool job_manager::answerResubmission(const request_id &request, const job_request &job, mono_time callerSeenAt)
 {
     const std::uint64_t sequence = job.source.id.sequence;
     const answered_job *kept = m_table.findAnswered(sequence);
@@ -77,13 +80,13 @@
     } else if (kept != nullptr) {
         m_context.reply(request, job.source.id, kept->answer->unpack());
     } else {
-        m_waiters.add(*running, request, job.source.id, std::nullopt);
+        m_waiters.add(*running, request, job.source.id, std::nullopt, callerSeenAt);
     }
     return true;
 }
 
 // Attaches a ticket with an already used client key to the job of that key, running or answered. Returns false if there is none.
-bool job_manager::joinByKey(const request_id &request, const job_request &job, const request_digest &digest)
+bool job_manager::joinByKey(const request_id &request, const job_request &job, const request_digest &digest, mono_time callerSeenAt)
 {
     const auto first = m_table.keys().find(job.team, job.kind, job.key);
     if (!first) {
@@ -93,11 +96,11 @@
     if (m_context.log.isEnabled()) {
         m_context.log.write(log_part::job, concat("Joined a ticket by its client key. ", ticketLogField(job.source.id), " first=", *first));
     }
-    return answerResubmission(request, job);
+    return answerResubmission(request, job, callerSeenAt);
 }
 
 // Creates the record of an admitted job and queues its tasks.
-void job_manager::create(const request_id &request, job_request job, const request_digest &digest, std::optional<std::chrono::milliseconds> startTimeout)
+job_record &job_manager::create(job_request job, const request_digest &digest, std::optional<std::chrono::milliseconds> startTimeout)
 {
     const kind_rule &rule = m_context.rules->kinds.find(job.kind)->second;
     const std::uint64_t sequence = job.source.id.sequence;
@@ -125,10 +128,10 @@
     }
     m_table.keys().add(job.team, job.kind, job.key, sequence);
     job_record &record = m_table.add(std::move(created));
-    m_waiters.add(record, request, job.source.id, std::nullopt);
     for (std::uint32_t index = 0; index < record.tasks.size(); ++index) {
         m_context.queue.push({.id = {.ticket = job.source.id, .index = index}, .kind = job.kind, .team = job.team, .deadline = record.deadline}, m_context.now);
     }
+    return record;
 }
 
 void job_manager::query(const request_id &request, const ticket &source, std::chrono::milliseconds wait)
@@ -154,7 +157,7 @@
         query(request, source, {});
         return;
     }
-    job->waiters.push_back({.request = request, .ticket = source.id, .timer = std::nullopt});
+    job->waiters.push_back({.request = request, .ticket = source.id, .timer = std::nullopt, .seenAt = {}});
     fail(*job, reason::cancelled);
 }
 
--- a/src/job/job_manager.h
+++ b/src/job/job_manager.h
@@ -37,8 +37,9 @@
      * Admits a new job, or attaches a resubmission to the job of its ticket.
      * @param request the request to answer
      * @param job the submission; this incarnation is its home
+     * @param callerSeenAt time at which the caller was seen connected; the default if that is not known
      */
-    void submit(const request_id &request, job_request job);
+    void submit(const request_id &request, job_request job, mono_time callerSeenAt = mono_time{});
 
     /**
      * Answers a query.
@@ -104,9 +105,9 @@
     std::size_t keptCount() const;
 
 private:
-    bool answerResubmission(const request_id &request, const job_request &job);
-    bool joinByKey(const request_id &request, const job_request &job, const request_digest &digest);
-    void create(const request_id &request, job_request job, const request_digest &digest, std::optional<std::chrono::milliseconds> startTimeout);
+    bool answerResubmission(const request_id &request, const job_request &job, mono_time callerSeenAt);
+    bool joinByKey(const request_id &request, const job_request &job, const request_digest &digest, mono_time callerSeenAt);
+    job_record &create(job_request job, const request_digest &digest, std::optional<std::chrono::milliseconds> startTimeout);
     job_record *findRunningOrJoined(std::uint64_t sequence);
     void collectObsolete(const job_record &job, const ticket_id &id);
     void settle(job_record &job, const job_answer &answer);
--- a/src/job/job_record.h
+++ b/src/job/job_record.h
@@ -35,6 +35,7 @@
     std::string key; ///< Client key given by the caller; may be empty.
     task_resources needs; ///< Resources that each task needs at its endpoint.
     std::chrono::milliseconds estimate{}; ///< Run time of a task as declared by the caller; zero if unknown.
+    bool needsCaller = false; ///< Whether tasks may only start while a caller is known to be connected.
     bool restartable = false; ///< Whether tasks may be started again after a failed or interrupted run.
     std::uint32_t attempts = 1; ///< Number of failed runs of one restartable task at which the job fails.
     bool hasRun = false; ///< Whether a run ended without a result; the answer must then not say "not run".
--- a/src/job/job_waiter.h
+++ b/src/job/job_waiter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "core/request_id.h"
 #include "core/ticket_id.h"
 #include "job/query_wait.h"
@@ -15,6 +16,7 @@
     request_id request;
     ticket_id ticket; ///< Ticket named by the request; differs from that of the job if it was joined by client key.
     std::optional<timer_queue<query_wait>::handle> timer; ///< Set if the wait has a time limit.
+    mono_time seenAt{}; ///< Time at which the caller was seen connected when the request arrived; unset if that is not known.
 };
 
 } // namespace teaselward
--- a/src/job/task_placer.cpp
+++ b/src/job/task_placer.cpp
@@ -29,8 +29,10 @@
 {
 }
 
+// A task whose caller was not seen for too long stops the placement until the next check, which covers all callers at once.
 std::size_t task_placer::placeAll()
 {
+    const bool wasWaiting = std::exchange(m_isWaitingForCheck, false);
     std::size_t placed = placeSuspects();
     while (m_context.queue.size() > 0) {
         std::optional<queued_task> task = m_context.queue.pop(m_placeable, m_context.now);
@@ -42,6 +44,14 @@
             m_context.queue.finish(*task, {.verdict = task_verdict::notStarted, .why = reason::none, .body = {}, .runTime = {}}, m_context.now);
             continue;
         }
+        if (!isCallerPresent(*job)) {
+            if (!wasWaiting) {
+                logWait(*task, *job);
+            }
+            m_context.queue.pushFront(*std::move(task));
+            m_isWaitingForCheck = true;
+            break;
+        }
         if (isQuarantinedSuspect(*task, *job)) {
             --job->queued;
             job->tasks.at(task->id.index).state = task_state::delayed;
@@ -63,12 +73,12 @@
 {
     std::size_t placed = 0;
     while (std::optional<queued_task> task = m_suspects.take()) {
-        const std::optional<agent_id> agent = acquire(*task, true);
+        job_record &job = *m_jobs.findRunning(task->id.ticket);
+        const std::optional<agent_id> agent = isCallerPresent(job) ? acquire(*task, true) : std::nullopt;
         if (!agent) {
             m_suspects.add(*std::move(task));
             break;
         }
-        job_record &job = *m_jobs.findRunning(task->id.ticket);
         ++job.queued;
         start(*std::move(task), *agent, job);
         ++placed;
@@ -76,6 +86,34 @@
     return placed;
 }
 
+bool task_placer::isWaitingForCheck() const
+{
+    return m_isWaitingForCheck;
+}
+
+// Returns whether the evidence that a caller waits for the job is recent enough to start its tasks.
+bool task_placer::isCallerPresent(const job_record &job) const
+{
+    const mono_time seenAt = m_context.callers.seenAt(job);
+    return seenAt > m_context.now - m_context.settings.placeEvidenceLimit;
+}
+
+void task_placer::logWait(const queued_task &task, const job_record &job) const
+{
+    if (m_context.log.isEnabled()) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.now - m_context.callers.seenAt(job));
+        m_context.log.write(log_part::place,
+                            concat("Placing waits until the callers' connections are checked. ",
+                                   taskLogFields(task.id),
+                                   " job=",
+                                   job.key,
+                                   " evidence_age_ms=",
+                                   age.count(),
+                                   " queued=",
+                                   m_context.queue.size()));
+    }
+}
+
 // Checks whether an endpoint has crashed under a task whose kind is quarantined.
 bool task_placer::isQuarantinedSuspect(const queued_task &task, const job_record &job) const
 {
@@ -100,6 +138,9 @@
         m_context.log.write(log_part::place, concat("Placed a task. ", taskLogFields(task.id), " kind=", task.kind, " agent=", agent.value));
     }
     start_task action{.agent = agent, .order = {}};
+    if (job.needsCaller) {
+        action.expiresAt = m_context.callers.seenAt(job) + m_context.settings.sendEvidenceLimit;
+    }
     action.order.id = task.id;
     action.order.kind = task.kind;
     action.order.team = task.team;
--- a/src/job/task_placer.h
+++ b/src/job/task_placer.h
@@ -43,6 +43,9 @@
      */
     std::size_t placeAll();
 
+    /** @return whether the next queued task waits for a check of its caller's connection */
+    bool isWaitingForCheck() const;
+
     /**
      * Handles the answer to a start. If it matches no placement it is late, and only its credits are applied.
      * @param agent agent that answered
@@ -101,6 +104,8 @@
 
 private:
     std::size_t placeSuspects();
+    bool isCallerPresent(const job_record &job) const;
+    void logWait(const queued_task &task, const job_record &job) const;
     bool isQuarantinedSuspect(const queued_task &task, const job_record &job) const;
     std::optional<agent_id> acquire(const queued_task &task, bool isSuspect);
     void start(queued_task task, const agent_id &agent, job_record &job);
@@ -118,6 +123,7 @@
     suspect_tasks m_suspects;
     placement_table m_placements;
     timer_queue<task_id> m_revocations; ///< Tasks whose start is to be revoked.
+    bool m_isWaitingForCheck = false;
     std::function<bool(std::string_view)> m_placeable; ///< Passed to the queue for each pop; stored to avoid constructing it each time.
 };
 
--- a/src/job/waiter_table.cpp
+++ b/src/job/waiter_table.cpp
@@ -23,7 +23,7 @@
 {
 }
 
-void waiter_table::add(job_record &job, const request_id &request, const ticket_id &ticket, std::optional<std::chrono::milliseconds> wait)
+void waiter_table::add(job_record &job, const request_id &request, const ticket_id &ticket, std::optional<std::chrono::milliseconds> wait, mono_time seenAt)
 {
     if (wait && wait->count() <= 0) {
         replyRunning(request, ticket);
@@ -35,7 +35,7 @@
         m_context.reply(request, ticket, std::move(busy));
         return;
     }
-    job_waiter waiter{.request = request, .ticket = ticket, .timer = std::nullopt};
+    job_waiter waiter{.request = request, .ticket = ticket, .timer = std::nullopt, .seenAt = seenAt};
     if (wait) {
         waiter.timer = m_waits.schedule(m_context.now + *wait, {.sequence = job.sequence, .request = request});
     }
--- a/src/job/waiter_table.h
+++ b/src/job/waiter_table.h
@@ -32,8 +32,10 @@
      * @param request the request
      * @param ticket ticket named by the request
      * @param wait longest time to wait; if empty, the request waits for the final answer
+     * @param seenAt time at which the caller was seen connected; the default if that is not known
      */
-    void add(job_record &job, const request_id &request, const ticket_id &ticket, std::optional<std::chrono::milliseconds> wait);
+    void
+    add(job_record &job, const request_id &request, const ticket_id &ticket, std::optional<std::chrono::milliseconds> wait, mono_time seenAt = mono_time{});
 
     /**
      * Answers all requests that wait for a job.
--- a/src/platform/job_api.cpp
+++ b/src/platform/job_api.cpp
@@ -3,6 +3,7 @@
 #include "core/concat.h"
 #include "core/reason_text.h"
 #include "http/http_exchange.h"
+#include "http/response_sender.h"
 #include "platform/client_headers.h"
 #include "platform/job_codec.h"
 
@@ -100,7 +101,14 @@
     if (!body.bestEffort || body.isRecurring || body.steps.size() != 1 || !step.isSupported || step.tasks > MaxTasks) {
         return refuse(exchange, StatusUnavailable, reason::unknownKind, "this form of job is not supported", id);
     }
+    // The request may have waited in the buffer of its socket while this process was paused, until the client gave up and submitted the
+    // job elsewhere. The time is taken first, so that a pause during the check makes the evidence old.
+    const mono_time seenAt = mono_clock::now();
+    if (isClosedByPeer(exchange)) {
+        return refuse(exchange, StatusUnavailable, reason::cancelled, "the client has closed its connection", id);
+    }
     keyed_job_submitted event;
+    event.callerSeenAt = seenAt;
     event.job.kind = found.kind;
     event.job.key = std::string(id);
     event.job.timeLimit = clientTimeout(exchange.request).value_or(found.timeLimit);
--- a/src/platform/platform_front_end.cpp
+++ b/src/platform/platform_front_end.cpp
@@ -105,9 +105,13 @@
     void detectAbandonedRequests()
     {
         while (!stopping.WaitForNotificationWithTimeout(absl::FromChrono(AbandonCheckInterval))) {
-            for (const std::uint64_t number : pending.takeAbandoned()) {
+            const connection_check check = pending.checkConnections();
+            for (const std::uint64_t number : check.closed) {
                 events.push(request_abandoned{{request_origin::platformClient, number}});
             }
+            if (check.lastRequest > 0) {
+                events.push(callers_checked{check.checkedAt, check.lastRequest});
+            }
         }
     }
 
--- a/src/rpc/entry_dispatcher.cpp
+++ b/src/rpc/entry_dispatcher.cpp
@@ -1,5 +1,8 @@
 #include "rpc/entry_dispatcher.h"
 
+#include "base/clock.h"
+#include "core/concat.h"
+#include "core/task_log_fields.h"
 #include "rpc/agent_session.h"
 #include "rpc/forwarder.h"
 #include "rpc/peer_session.h"
@@ -7,12 +10,21 @@
 #include "rpc/rpc_limits.h"
 #include "rpc/run_guarded.h"
 
+#include <cstdint>
 #include <string>
 #include <utility>
 
 namespace teaselward
 {
 
+namespace
+{
+
+// A start that is not sent returns the credit that it was placed with.
+constexpr std::int32_t UnusedCredit = 1;
+
+} // namespace
+
 // Indexed by the alternative of entry_action; actions for other adapters are dropped.
 const action_table<entry_action, entry_dispatcher::handler> entry_dispatcher::Handlers = action_table<entry_action, handler>(&entry_dispatcher::dropAction)
                                                                                              .set<start_task>(&entry_dispatcher::startTask)
@@ -46,22 +58,30 @@
 }
 
 // Without a session nothing is sent, so the task is known not to have started. A payload that exceeds the message size limit
-// would fail with every agent, so the task must not be placed again.
+// would fail with every agent, so the task must not be placed again. A start that has expired in the ring is returned with its credit.
 void entry_dispatcher::startTask(entry_action &&action)
 {
     const auto &start = std::get<start_task>(action);
     agent_session *session = findAgent(start.agent);
     task_outcome outcome;
+    std::int32_t credits = 0;
     if (start.order.payload.size() > MaxMessageBodyBytes) {
         outcome.why = reason::tooLarge;
     } else if (session == nullptr) {
         outcome.verdict = task_verdict::notStarted;
         outcome.why = reason::noEndpoint;
+    } else if (mono_clock::now() > start.expiresAt) {
+        outcome.verdict = task_verdict::notStarted;
+        outcome.why = reason::overloaded;
+        credits = UnusedCredit;
+        if (m_context.log.isEnabled()) {
+            m_context.log.write(log_part::rpc, concat("Dropped a start that has expired before it was sent. ", taskLogFields(start.order.id)));
+        }
     } else {
         session->start(start.order);
         return;
     }
-    m_context.events.push(task_finished{start.agent, start.order.id, std::move(outcome), 0});
+    m_context.events.push(task_finished{start.agent, start.order.id, std::move(outcome), credits});
 }
 
 // A revocation that cannot be sent raises no event; the core repeats it by its own timer.
--- a/tests/chain/chain_simulation.h
+++ b/tests/chain/chain_simulation.h
@@ -5,6 +5,7 @@
 #include "chain/chain_job.h"
 #include "chain/chain_session.h"
 #include "chain/entry_node.h"
+#include "chain/freeze_pattern.h"
 #include "chain/run_log.h"
 #include "chain/seeded_random.h"
 #include "chain/simulated_worker.h"
@@ -50,6 +51,14 @@
      */
     void run(std::chrono::milliseconds length);
 
+    /**
+     * Freezes one entry after the other for seconds. Callers submit jobs to the frozen entry, leave at their time limit and submit
+     * them to another entry, which runs them while the frozen one goes on.
+     * @param pattern state of the entry when it freezes and order in which its threads go on
+     * @param rounds number of freezes
+     */
+    void freezeEntries(freeze_pattern pattern, std::size_t rounds);
+
     /** @return descriptions of the runs that began while another run of the same task was not over */
     const std::vector<std::string> &overlaps() const;
 
@@ -94,6 +103,7 @@
     chain_session &session(std::size_t entry, std::size_t agent);
 
     void addJob();
+    std::size_t addJob(std::chrono::microseconds work, std::chrono::milliseconds limit, std::size_t tasks);
     void submit(std::size_t job, std::size_t entry);
     void submitAgain(std::size_t job, std::chrono::milliseconds delay);
     void breakConnection(std::size_t job, bool isSeenByEntry);
--- a/tests/chain/chain_simulation_callers.cpp
+++ b/tests/chain/chain_simulation_callers.cpp
@@ -11,12 +11,16 @@
 
 using namespace std::chrono_literals;
 
+// Time that the bytes of a caller travel. The end of a connection arrives after them.
+constexpr std::chrono::microseconds MinDelay = 300us;
+constexpr std::chrono::microseconds MaxDelay = 900us;
+
 constexpr std::chrono::milliseconds RetransmitDelay = 1300ms; // Time after which a caller submits its job again.
 constexpr std::chrono::milliseconds RefusalDelay = 100ms; // The same after an answer that says "not run".
-constexpr std::chrono::milliseconds AbandonCheckInterval = 200ms; // As in platform_front_end.
 constexpr int MaxSubmissions = 6;
 constexpr std::size_t MaxTasks = 4;
 constexpr std::chrono::milliseconds CallerLimit = 6s;
+constexpr std::chrono::milliseconds MaxCallerDelay = 100ms; // Time after its limit at which a caller closes its connection.
 
 // One task in four runs for seconds, so that it can outlast the time until a caller submits its job again.
 constexpr double LongTasks = 0.25;
@@ -25,17 +29,23 @@
 
 void chain_simulation::addJob()
 {
-    chain_job job;
     const bool isLong = m_random.chance(LongTasks);
     const auto work = isLong ? m_random.between(1s, 4s) : m_random.between(30ms, 800ms);
+    submit(addJob(work, CallerLimit, 1 + m_random.below(MaxTasks)), m_random.below(Entries));
+}
+
+// Adds a job without submitting it. Returns its position.
+std::size_t chain_simulation::addJob(std::chrono::microseconds work, std::chrono::milliseconds limit, std::size_t tasks)
+{
+    chain_job job;
     job.request.kind = "check";
     job.request.key = std::to_string(m_jobs.size());
-    job.request.timeLimit = CallerLimit;
-    job.request.payloads.assign(1 + m_random.below(MaxTasks), std::to_string(work.count()));
+    job.request.timeLimit = limit;
+    job.request.payloads.assign(tasks, std::to_string(work.count()));
     job.request.needs = {.cpuMillis = 3000, .memoryMb = 64, .gpus = 0};
     job.request.estimate = std::chrono::ceil<std::chrono::milliseconds>(work);
     m_jobs.push_back(std::move(job));
-    submit(m_jobs.size() - 1, m_random.below(Entries));
+    return m_jobs.size() - 1;
 }
 
 // A caller that cannot connect treats this like a broken connection.
@@ -52,10 +62,10 @@
     const request_id request{.origin = request_origin::platformClient, .number = ++m_lastRequest};
     one.open = request.number;
     m_requests[request.number] = {.job = job, .entry = entry};
-    m_timeline.after(m_random.between(300us, 900us), [this, entry, request, message = one.request] {
-        m_entries[entry]->handle(keyed_job_submitted{.request = request, .job = message});
+    m_timeline.after(m_random.between(MinDelay, MaxDelay), [this, entry, request, message = one.request] {
+        m_entries[entry]->frontEnd().receive(request, message);
     });
-    m_timeline.after(CallerLimit + 100ms, [this, job, number = request.number] {
+    m_timeline.after(one.request.timeLimit + MaxCallerDelay, [this, job, number = request.number] {
         if (m_jobs[job].open == number) {
             breakConnection(job, true);
         }
@@ -73,7 +83,7 @@
     });
 }
 
-// The caller sees a broken connection at once. The entry sees it at its next check.
+// The caller sees a broken connection at once. The entry sees it when it next looks at the connection.
 void chain_simulation::breakConnection(std::size_t job, bool isSeenByEntry)
 {
     const std::uint64_t number = std::exchange(m_jobs[job].open, 0);
@@ -83,8 +93,8 @@
     const std::size_t entry = m_requests.at(number).entry;
     m_requests.erase(number);
     if (isSeenByEntry) {
-        m_entries[entry]->process().wake(process_lane::rpc, m_random.between(0us, AbandonCheckInterval), [this, entry, number] {
-            m_entries[entry]->handle(request_abandoned{.request = {.origin = request_origin::platformClient, .number = number}});
+        m_timeline.after(MaxDelay, [this, entry, number] {
+            m_entries[entry]->frontEnd().disconnect(number);
         });
     }
     submitAgain(job, RetransmitDelay);
--- a/tests/chain/entry_node.cpp
+++ b/tests/chain/entry_node.cpp
@@ -26,6 +26,11 @@
     , m_links(std::move(links))
     , m_log(log)
     , m_process(timeline, random)
+    , m_frontEnd(timeline,
+                 m_process,
+                 [this](const entry_event &event) {
+                     handle(event);
+                 })
     , m_info{.id = {(position + 1) * IncarnationsOfOne}, .address = "10.0.0." + std::to_string(position) + ":1", .failureDomain = "a"}
 {
     start();
@@ -41,6 +46,7 @@
     settings.seed = m_info.id.value;
     m_core = std::make_unique<entry_core>(settings, m_timeline.now(), m_log);
     m_wake = mono_time::max();
+    m_frontEnd.start();
     decide(rules_applied{.rules = m_rules});
 }
 
@@ -61,15 +67,28 @@
     armTimer();
 }
 
-// A start for which there is no session gets no answer.
+// The other actions wait in the ring of the RPC thread.
 void entry_node::perform(const entry_action &action)
 {
     if (const auto *reply = std::get_if<reply_job>(&action); reply != nullptr) {
+        m_frontEnd.finish(reply->request.number);
         m_links.reply(reply->request, reply->answer);
-    } else if (!m_links.send(action)) {
-        if (const auto *start = std::get_if<start_task>(&action); start != nullptr) {
-            handle(start_unanswered{.agent = start->agent, .id = start->order.id});
-        }
+        return;
+    }
+    m_process.post(process_lane::rpc, 0us, [this, action] {
+        send(action);
+    });
+}
+
+// A start for which there is no session gets no answer. A start that has expired in the ring is not sent.
+void entry_node::send(const entry_action &action)
+{
+    const auto *start = std::get_if<start_task>(&action);
+    if (start != nullptr && m_timeline.now() > start->expiresAt) {
+        const task_outcome outcome{.verdict = task_verdict::notStarted, .why = reason::overloaded, .body = {}, .runTime = {}};
+        handle(task_finished{.agent = start->agent, .id = start->order.id, .outcome = outcome, .credits = 1});
+    } else if (!m_links.send(action) && start != nullptr) {
+        handle(start_unanswered{.agent = start->agent, .id = start->order.id});
     }
 }
 
@@ -103,6 +122,11 @@
     return m_process;
 }
 
+simulated_front_end &entry_node::frontEnd()
+{
+    return m_frontEnd;
+}
+
 const entry_info &entry_node::info() const
 {
     return m_info;
--- a/tests/chain/entry_node.h
+++ b/tests/chain/entry_node.h
@@ -2,6 +2,7 @@
 
 #include "chain/entry_node_links.h"
 #include "chain/seeded_random.h"
+#include "chain/simulated_front_end.h"
 #include "chain/simulated_process.h"
 #include "chain/virtual_timeline.h"
 #include "core/entry_info.h"
@@ -47,6 +48,9 @@
     /** @return the process */
     simulated_process &process();
 
+    /** @return the front end */
+    simulated_front_end &frontEnd();
+
     /** @return properties of the entry */
     const entry_info &info() const;
 
@@ -54,6 +58,7 @@
     void start();
     void decide(const entry_event &event);
     void perform(const entry_action &action);
+    void send(const entry_action &action);
     void armTimer();
 
     virtual_timeline &m_timeline;
@@ -61,6 +66,7 @@
     entry_node_links m_links;
     logger &m_log;
     simulated_process m_process;
+    simulated_front_end m_frontEnd;
     entry_info m_info;
     std::unique_ptr<entry_core> m_core;
     mono_time m_wake = mono_time::max();
--- a/tests/chain/process_lane.h
+++ b/tests/chain/process_lane.h
@@ -11,8 +11,10 @@
     decision,
     rpc,
     worker,
+    listener,
+    connectionCheck,
 };
 
-constexpr std::size_t LaneCount = 3;
+constexpr std::size_t LaneCount = 5;
 
 } // namespace teaselward
--- a/tests/chain/simulated_process.cpp
+++ b/tests/chain/simulated_process.cpp
@@ -87,6 +87,12 @@
     }
 }
 
+void simulated_process::freeze(process_lane lane, std::chrono::microseconds length)
+{
+    lane_state &state = m_lanes.at(static_cast<std::size_t>(lane));
+    state.frozenUntil = std::max(state.frozenUntil, m_timeline.now() + length);
+}
+
 bool simulated_process::isAlive() const
 {
     return m_isAlive;
--- a/tests/chain/simulated_process.h
+++ b/tests/chain/simulated_process.h
@@ -53,6 +53,13 @@
      */
     void freeze(std::chrono::microseconds length);
 
+    /**
+     * Freezes one thread, like one that gets its processor late.
+     * @param lane the thread
+     * @param length time until it goes on
+     */
+    void freeze(process_lane lane, std::chrono::microseconds length);
+
     /** @return whether the process is not killed */
     bool isAlive() const;
 
--- a/tests/job/restartable_entry.h
+++ b/tests/job/restartable_entry.h
@@ -48,6 +48,19 @@
         handle(keyed_job_submitted{.request = request, .job = job});
         return request;
     }
+
+    /** Submits a job through the front end for platform clients, whose connection was seen open at a given time. */
+    request_id submitFromClient(const std::string &key, mono_time seenAt, std::size_t tasks = 1)
+    {
+        const request_id request{.origin = request_origin::platformClient, .number = nextRequest().number};
+        job_request job = jobFor({}, tasks);
+        job.team.clear();
+        job.key = key;
+        job.timeLimit = std::chrono::seconds(5);
+        job.estimate = std::chrono::milliseconds(100);
+        handle(keyed_job_submitted{.request = request, .job = job, .callerSeenAt = seenAt});
+        return request;
+    }
 };
 
 } // namespace teaselward
--- a/tests/rpc/control_test.cpp
+++ b/tests/rpc/control_test.cpp
@@ -132,6 +132,20 @@
     BOOST_TEST(entry.events.count<agent_lost>() == 0U);
 }
 
+// Guards against a start that is sent after its process was paused with the start in the ring: its caller may have left meanwhile.
+BOOST_FIXTURE_TEST_CASE(returnsAStartThatHasExpiredInTheRing, joined_pair)
+{
+    const start_order order{task_id{ticket_id{11, 1}, 0}, "lookup", "team-a", "payload", 10s, 0};
+    BOOST_REQUIRE(entry.rpc.post(start_task{.agent = agent_id{22}, .order = order, .expiresAt = mono_clock::now() - 1ms}));
+    const auto returned = entry.events.waitFor<task_finished>();
+    BOOST_REQUIRE(returned.has_value());
+    BOOST_TEST((returned->outcome.verdict == task_verdict::notStarted));
+    BOOST_TEST(returned->credits == 1);
+    BOOST_REQUIRE(entry.rpc.post(start_task{.agent = agent_id{22}, .order = order, .expiresAt = mono_clock::now() + 1h}));
+    BOOST_REQUIRE(agent.events.waitFor<start_received>().has_value());
+    BOOST_TEST(agent.events.count<start_received>() == 1U);
+}
+
 // Guards against an entry that still sends tasks to a leaving agent, also if the agent registers there after it began to leave.
 BOOST_AUTO_TEST_CASE(announcesLeavingToEveryEntry)
 {
