Measure timed waits by the steady clock

A clock that is set back by seconds delayed the check for clients that have left, the timers of an idle process, retries of the routes and the end of a drain by as much. Since a start now depends on that check, queued tasks would wait too.

Cause: Abseil computes the end of a timed wait from the time of day and waits with FUTEX_CLOCK_REALTIME.

Change: bounded_ring, in_flight_counter and memory_platform_log use the condition variable of the standard library, whose relative waits follow CLOCK_MONOTONIC. stop_signal takes the place of absl::Notification where a thread sleeps between its turns.

--- a/src/base/bounded_ring.h
+++ b/src/base/bounded_ring.h
@@ -2,12 +2,12 @@
 
 #include "base/clock.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
-#include <absl/time/time.h>
-
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
 #include <cstddef>
 #include <functional>
+#include <mutex>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -17,7 +17,8 @@
 
 /**
  * Queue of fixed capacity between threads. Each thread of a process has one ring as its inbox.
- * Waiting threads block instead of spinning.
+ * Waiting threads block instead of spinning. Timed waits are measured by the steady clock: Abseil measures them by the time of day,
+ * so a clock that is set back would prolong them.
  */
 template<typename T>
 class bounded_ring
@@ -55,7 +56,7 @@
     {
         bool wasEmpty = false;
         {
-            absl::MutexLock lock(&m_mutex);
+            const std::lock_guard lock(m_mutex);
             if (m_closed || m_count == m_items.size()) {
                 return false;
             }
@@ -77,9 +78,9 @@
     {
         bool wasEmpty = false;
         {
-            absl::MutexLock lock(&m_mutex);
+            std::unique_lock lock(m_mutex);
             while (!m_closed && m_count == m_items.size()) {
-                m_notFull.Wait(&m_mutex);
+                m_notFull.wait(lock);
             }
             if (m_closed) {
                 return false;
@@ -99,9 +100,9 @@
      */
     std::optional<T> pop()
     {
-        absl::MutexLock lock(&m_mutex);
+        std::unique_lock lock(m_mutex);
         while (m_count == 0 && !m_closed) {
-            m_notEmpty.Wait(&m_mutex);
+            m_notEmpty.wait(lock);
         }
         return takeFirst();
     }
@@ -113,13 +114,13 @@
      */
     std::optional<T> popUntil(mono_time until)
     {
-        absl::MutexLock lock(&m_mutex);
+        std::unique_lock lock(m_mutex);
         while (m_count == 0 && !m_closed) {
             const auto left = until - mono_clock::now();
             if (left <= left.zero()) {
                 break;
             }
-            m_notEmpty.WaitWithTimeout(&m_mutex, absl::FromChrono(left));
+            m_notEmpty.wait_for(lock, std::min<mono_time::duration>(left, MaxWait));
         }
         return takeFirst();
     }
@@ -130,7 +131,7 @@
      */
     std::optional<T> tryPop()
     {
-        absl::MutexLock lock(&m_mutex);
+        const std::lock_guard lock(m_mutex);
         return takeFirst();
     }
 
@@ -138,10 +139,10 @@
     void close()
     {
         {
-            absl::MutexLock lock(&m_mutex);
+            const std::lock_guard lock(m_mutex);
             m_closed = true;
-            m_notEmpty.SignalAll();
-            m_notFull.SignalAll();
+            m_notEmpty.notify_all();
+            m_notFull.notify_all();
         }
         wakeConsumer();
     }
@@ -149,19 +150,24 @@
     /** @return whether the ring is closed and empty, so that no more items will arrive */
     bool isFinished() const
     {
-        absl::MutexLock lock(&m_mutex);
+        const std::lock_guard lock(m_mutex);
         return m_closed && m_count == 0;
     }
 
 private:
-    void append(T &&item) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+    // Keeps the sum of a wait and the current time in range.
+    static constexpr std::chrono::hours MaxWait{1};
+
+    // The caller holds the mutex.
+    void append(T &&item)
     {
         m_items[(m_first + m_count) % m_items.size()] = std::move(item);
         ++m_count;
-        m_notEmpty.Signal();
+        m_notEmpty.notify_one();
     }
 
-    std::optional<T> takeFirst() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+    // The caller holds the mutex.
+    std::optional<T> takeFirst()
     {
         if (m_count == 0) {
             return std::nullopt;
@@ -169,7 +175,7 @@
         std::optional<T> item(std::exchange(m_items[m_first], T{}));
         m_first = (m_first + 1) % m_items.size();
         --m_count;
-        m_notFull.Signal();
+        m_notFull.notify_one();
         return item;
     }
 
@@ -180,13 +186,13 @@
         }
     }
 
-    mutable absl::Mutex m_mutex;
-    absl::CondVar m_notEmpty;
-    absl::CondVar m_notFull;
-    std::vector<T> m_items ABSL_GUARDED_BY(m_mutex);
-    std::size_t m_first ABSL_GUARDED_BY(m_mutex) = 0;
-    std::size_t m_count ABSL_GUARDED_BY(m_mutex) = 0;
-    bool m_closed ABSL_GUARDED_BY(m_mutex) = false;
+    mutable std::mutex m_mutex; ///< Guards the members below except the waker.
+    std::condition_variable m_notEmpty;
+    std::condition_variable m_notFull;
+    std::vector<T> m_items;
+    std::size_t m_first = 0;
+    std::size_t m_count = 0;
+    bool m_closed = false;
     std::function<void()> m_wake;
 };
 
--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "base/backoff.h"
 #include "base/duty_thread.h"
+#include "base/stop_signal.h"
 #include "config/config_error.h"
 #include "config/config_reader.h"
 #include "config/record_codec.h"
@@ -10,7 +11,6 @@
 #include "config/system_wall_clock.h"
 
 #include <absl/synchronization/mutex.h>
-#include <absl/time/time.h>
 
 #include <algorithm>
 #include <random>
@@ -62,9 +62,8 @@
     bool wasCurrent = false;
     bool isLogBehind = false; // The log ended below the active offset at the last read; logged once.
 
+    stop_signal stopping;
     mutable absl::Mutex mutex;
-    absl::CondVar wake;
-    bool isStopped ABSL_GUARDED_BY(mutex) = false;
     std::shared_ptr<const snapshot_record> peerSnapshot ABSL_GUARDED_BY(mutex); // Returned by snapshot().
 
     std::unique_ptr<duty_thread> thread; // Last member, so that the thread ends before the other members are destroyed.
@@ -196,18 +195,15 @@
         if (left <= left.zero()) {
             return;
         }
-        absl::MutexLock lock(&mutex);
-        if (isStopped) {
+        if (stopping.waitFor(limitWait(left))) {
             return;
         }
-        wake.WaitWithTimeout(&mutex, absl::FromChrono(limitWait(left)));
     }
 }
 
 bool config_follower_private::shouldStop() const
 {
-    absl::MutexLock lock(&mutex);
-    return isStopped;
+    return stopping.isNotified();
 }
 
 // Limits a wait to the next boundary of local time, the next attempt to send rules, and the poll interval. The latter bounds the
@@ -263,11 +259,7 @@
 
 void config_follower::stop()
 {
-    {
-        absl::MutexLock lock(&d->mutex);
-        d->isStopped = true;
-        d->wake.SignalAll();
-    }
+    d->stopping.notify();
     d->thread.reset();
 }
 
--- a/src/config/route_follower.cpp
+++ b/src/config/route_follower.cpp
@@ -1,12 +1,11 @@
 #include "config/route_follower.h"
 
 #include "base/duty_thread.h"
+#include "base/stop_signal.h"
 #include "config/route_rules.h"
 #include "core/concat.h"
 
 #include <absl/synchronization/mutex.h>
-#include <absl/synchronization/notification.h>
-#include <absl/time/time.h>
 
 #include <chrono>
 #include <optional>
@@ -50,14 +49,14 @@
     void run()
     {
         std::optional<std::uint64_t> next;
-        while (!stopping.HasBeenNotified()) {
+        while (!stopping.isNotified()) {
             if (readOnce(next)) {
                 storeCopy();
             } else {
                 next.reset();
                 adoptFromPeer();
                 adoptStoredCopy();
-                stopping.WaitForNotificationWithTimeout(absl::FromChrono(RetryDelay));
+                stopping.waitFor(RetryDelay);
             }
         }
     }
@@ -173,7 +172,7 @@
     bool isStoreDown = false;
     mutable absl::Mutex mutex;
     std::optional<config_copy> copy ABSL_GUARDED_BY(mutex);
-    absl::Notification stopping;
+    stop_signal stopping;
     std::optional<duty_thread> thread;
 };
 
@@ -201,7 +200,7 @@
 void route_follower::stop()
 {
     if (d->thread) {
-        d->stopping.Notify();
+        d->stopping.notify();
         d->thread.reset();
     }
 }
--- a/src/http/in_flight_counter.cpp
+++ b/src/http/in_flight_counter.cpp
@@ -1,32 +1,30 @@
 #include "http/in_flight_counter.h"
 
-#include <absl/time/time.h>
-
 namespace teaselward
 {
 
 void in_flight_counter::begin()
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard lock(m_mutex);
     ++m_count;
 }
 
 void in_flight_counter::end()
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard lock(m_mutex);
     --m_count;
-    m_changed.SignalAll();
+    m_changed.notify_all();
 }
 
 void in_flight_counter::waitUntilZero(mono_time until)
 {
-    const absl::MutexLock lock(&m_mutex);
+    std::unique_lock lock(m_mutex);
     while (m_count > 0) {
         const auto left = until - mono_clock::now();
         if (left <= left.zero()) {
             return;
         }
-        m_changed.WaitWithTimeout(&m_mutex, absl::FromChrono(left));
+        m_changed.wait_for(lock, left);
     }
 }
 
--- a/src/http/in_flight_counter.h
+++ b/src/http/in_flight_counter.h
@@ -2,10 +2,9 @@
 
 #include "base/clock.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
-
+#include <condition_variable>
 #include <cstddef>
+#include <mutex>
 
 namespace teaselward
 {
@@ -27,9 +26,9 @@
     void waitUntilZero(mono_time until);
 
 private:
-    absl::Mutex m_mutex;
-    absl::CondVar m_changed;
-    std::size_t m_count ABSL_GUARDED_BY(m_mutex) = 0;
+    std::mutex m_mutex;
+    std::condition_variable m_changed; ///< Its timed waits are measured by the steady clock, unlike those of Abseil.
+    std::size_t m_count = 0;
 };
 
 } // namespace teaselward
--- a/src/platform/memory_platform_log.cpp
+++ b/src/platform/memory_platform_log.cpp
@@ -2,12 +2,11 @@
 
 #include "platform/platform_error.h"
 
-#include <absl/synchronization/mutex.h>
-#include <absl/time/time.h>
-
 #include <algorithm>
+#include <condition_variable>
 #include <deque>
 #include <map>
+#include <mutex>
 #include <string>
 #include <utility>
 
@@ -32,11 +31,11 @@
 {
 public:
     memory_platform_log_settings settings;
-    absl::Mutex mutex;
-    absl::CondVar appended;
-    std::map<std::string, memory_stream, std::less<>> streams ABSL_GUARDED_BY(mutex);
+    std::mutex mutex; ///< Guards the streams.
+    std::condition_variable appended; ///< Its timed waits are measured by the steady clock, unlike those of Abseil.
+    std::map<std::string, memory_stream, std::less<>> streams;
 
-    memory_stream &find(std::string_view name) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    memory_stream &find(std::string_view name);
     void fill(const memory_stream &stream, std::uint64_t from, log_page &page) const;
 };
 
@@ -89,18 +88,18 @@
     if (body.size() > d->settings.recordLimit) {
         return platform_error::tooLarge;
     }
-    absl::MutexLock lock(&d->mutex);
+    const std::lock_guard lock(d->mutex);
     detail::memory_stream &target = d->find(stream);
     offset = target.next++;
     target.records.push_back({.record = {.offset = offset, .body = std::string(body)}, .appended = d->settings.now()});
-    d->appended.SignalAll();
+    d->appended.notify_all();
     return {};
 }
 
 std::error_code memory_platform_log::read(std::string_view stream, std::uint64_t from, std::chrono::milliseconds wait, log_page &page)
 {
     const mono_time until = mono_clock::now() + wait;
-    absl::MutexLock lock(&d->mutex);
+    std::unique_lock lock(d->mutex);
     while (true) {
         const detail::memory_stream &source = d->find(stream);
         page = {.records = {}, .first = source.first, .next = source.next};
@@ -112,13 +111,13 @@
             d->fill(source, from, page);
             return {};
         }
-        d->appended.WaitWithTimeout(&d->mutex, absl::FromChrono(left));
+        d->appended.wait_for(lock, left);
     }
 }
 
 void memory_platform_log::dropBelow(std::string_view stream, std::uint64_t first)
 {
-    absl::MutexLock lock(&d->mutex);
+    const std::lock_guard lock(d->mutex);
     detail::memory_stream &target = d->find(stream);
     while (!target.records.empty() && target.records.front().record.offset < first) {
         target.records.pop_front();
--- a/src/platform/platform_front_end.cpp
+++ b/src/platform/platform_front_end.cpp
@@ -1,6 +1,7 @@
 #include "platform/platform_front_end.h"
 
 #include "base/duty_thread.h"
+#include "base/stop_signal.h"
 #include "http/event_dispatcher.h"
 #include "http/http_listener.h"
 #include "http/pending_requests.h"
@@ -12,8 +13,6 @@
 #include "platform/readiness_api.h"
 
 #include <absl/synchronization/mutex.h>
-#include <absl/synchronization/notification.h>
-#include <absl/time/time.h>
 
 #include <optional>
 #include <utility>
@@ -104,7 +103,7 @@
     // Loop of the thread that detects clients which have closed their connections.
     void detectAbandonedRequests()
     {
-        while (!stopping.WaitForNotificationWithTimeout(absl::FromChrono(AbandonCheckInterval))) {
+        while (!stopping.waitFor(AbandonCheckInterval)) {
             const connection_check check = pending.checkConnections();
             for (const std::uint64_t number : check.closed) {
                 events.push(request_abandoned{{request_origin::platformClient, number}});
@@ -122,7 +121,7 @@
             return;
         }
         clientListener->quiesce();
-        stopping.Notify();
+        stopping.notify();
         abandonThread.reset();
         replies.close();
         replyThread.reset();
@@ -141,7 +140,7 @@
     readiness_api readiness;
     std::optional<http_listener> clientListener;
     std::optional<http_listener> balancerListener;
-    absl::Notification stopping;
+    stop_signal stopping;
     std::optional<duty_thread> replyThread;
     std::optional<duty_thread> abandonThread;
 };
--- a/src/proc/entry_process.cpp
+++ b/src/proc/entry_process.cpp
@@ -3,6 +3,7 @@
 #include "base/bounded_ring.h"
 #include "base/duty_thread.h"
 #include "base/one_shot_timer.h"
+#include "base/stop_signal.h"
 #include "config/config_follower.h"
 #include "config/route_follower.h"
 #include "core/shared_routes.h"
@@ -17,7 +18,6 @@
 #include "rpc/entry_rpc.h"
 
 #include <absl/synchronization/notification.h>
-#include <absl/time/time.h>
 
 #include <atomic>
 #include <optional>
@@ -82,7 +82,7 @@
 
     ~entry_process_private()
     {
-        drainWaitCancelled.Notify();
+        drainWaitCancelled.notify();
         drainThread.reset();
         if (platformFrontEnd) {
             platformFrontEnd->stop();
@@ -163,7 +163,7 @@
     std::optional<platform_route_source> routeSource;
     std::optional<route_follower> routeFollower;
     std::atomic<bool> stopRequested{false};
-    absl::Notification drainWaitCancelled;
+    stop_signal drainWaitCancelled;
     std::optional<duty_thread> drainThread;
     duty_thread decision{"decision", [this] {
                              loop(core, events, timer, [this](entry_action &action) {
@@ -198,7 +198,7 @@
         d->platformFrontEnd->beginDrain();
     }
     d->drainThread.emplace("drain", [this] {
-        d->drainWaitCancelled.WaitForNotificationWithTimeout(absl::FromChrono(d->settings.drainAccept));
+        d->drainWaitCancelled.waitFor(d->settings.drainAccept);
         d->events.push(drain_started{d->settings.drainBound});
     });
 }
