Extend the lease of a silent peer only once

At a process that is paused again and again, each time for more than half a lease, the lease of a silent peer never ended: each pause gave the peer another half lease. The runs of a home that is gone would go on at such an agent while their callers submit the jobs elsewhere.

Cause: the age of the peer's last message was counted anew from each pause.

Change: the peer gets another half lease once until data is received again. A lease of 600 ms that is checked every 310 ms ends within 1210 ms.

Evidence: session_monitor_test/expiresASilentPeerInASeriesOfOwnPauses fails with the code before, where the lease does not end within 10 s.

--- a/src/member/session_monitor.cpp
+++ b/src/member/session_monitor.cpp
@@ -1,6 +1,7 @@
 #include "member/session_monitor.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace teaselward
 {
@@ -17,6 +18,7 @@
 void session_monitor::recordReceived(mono_time now)
 {
     m_received = std::max(m_received, now);
+    m_isExtended = false;
 }
 
 void session_monitor::recordSent(mono_time now)
@@ -28,7 +30,7 @@
 session_state session_monitor::check(mono_time now)
 {
     const std::chrono::milliseconds half = m_lease / 2;
-    if (now - m_checked > half) {
+    if (now - m_checked > half && !std::exchange(m_isExtended, true)) {
         m_received = std::max(m_received, now - half);
     }
     m_checked = now;
--- a/src/member/session_monitor.h
+++ b/src/member/session_monitor.h
@@ -34,7 +34,8 @@
 
     /**
      * Checks the session. Must be called several times per lease: a longer gap between two checks means that this process was
-     * paused and that data from the peer may still be unread, so the peer gets another half lease.
+     * paused and that data from the peer may still be unread, so the peer gets another half lease. It gets that only once until data
+     * is received, so that the lease of a silent peer ends however often this process is paused.
      * @param now current time
      * @return state of the session
      */
@@ -46,6 +47,7 @@
     mono_time m_received;
     mono_time m_sent;
     mono_time m_checked;
+    bool m_isExtended = false; ///< The peer got another half lease since data was last received.
 };
 
 } // namespace teaselward
--- a/tests/member/session_monitor_test.cpp
+++ b/tests/member/session_monitor_test.cpp
@@ -95,4 +95,19 @@
     BOOST_TEST((now - Start <= 1min + 1100ms));
 }
 
+// Guards against a lease that never ends at a process which is paused again and again: its runs would outlast their home.
+BOOST_AUTO_TEST_CASE(expiresASilentPeerInASeriesOfOwnPauses)
+{
+    session_monitor monitor(600ms, 200ms, Start);
+    mono_time now = Start;
+    session_state state = session_state::alive;
+    while (state != session_state::expired && now < Start + 10s) {
+        now += 310ms; // More than half a lease.
+        monitor.recordSent(now);
+        state = monitor.check(now);
+    }
+    BOOST_TEST((state == session_state::expired));
+    BOOST_TEST((now - Start <= 600ms + 300ms + 310ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
