--- a/tests/chain/two_runs_after_a_freeze_test.cpp
+++ b/tests/chain/two_runs_after_a_freeze_test.cpp
@@ -23,6 +23,19 @@
     }
 }
 
+// Guards against the same with few late orders and many disruptions, at entries with and without outstanding starts.
+BOOST_AUTO_TEST_CASE(aSubmissionFromBeforeAFreezeStartsNothingAmongManyDisruptions)
+{
+    for (const std::uint32_t seed : {219U, 349U, 783U, 884U}) {
+        chain_simulation simulation(seed, {.perSecond = 2, .lateOrders = 0.05, .lostAnswers = 0.05, .lateLists = 0.05});
+        simulation.run(20s);
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            BOOST_TEST(simulation.overlaps().empty());
+        }
+    }
+}
+
 // Guards against a start from before the freeze of its agent that begins late, since the agent renews the lease when it goes on.
 BOOST_AUTO_TEST_CASE(aLateStartFromBeforeAFreezeOfItsAgentStaysRefused)
 {
