Refuse heartbeats with malformed members, and keep no instance that is not served

Cause: only the members that the agent uses were checked, so the foreign heartbeat counted as one of the worker, and its sequence number made the worker's own heartbeats look older. In the variant (another id, a later start, draining) the instance was not adopted, but took the place of the current one all the same.

An instance that drains when it is announced first is kept aside, only so that its older heartbeats stay outdated.

Why it works: what is refused changes no state, and an instance changes what the watch believes only if it is served.

--- a/src/agent/run/endpoint_watch.cpp
+++ b/src/agent/run/endpoint_watch.cpp
@@ -10,23 +10,35 @@
 {
 }
 
+bool endpoint_watch::isSameInstance(const std::optional<endpoint_announcement> &known, const endpoint_announcement &announcement)
+{
+    return known && known->id == announcement.id && known->endpointStart == announcement.endpointStart;
+}
+
+// An instance that drains when it is announced first is not served, so it does not take the place of the current one: its heartbeat may
+// come from another writer, and would make those of the endpoint look like those of an earlier instance.
 announcement_effect endpoint_watch::applyHeartbeat(const endpoint_announcement &announcement)
 {
     if (!m_service.empty() && announcement.service != m_service) {
         return announcement_effect::unchanged;
     }
-    const bool isSameInstance = m_current && m_current->id == announcement.id && m_current->endpointStart == announcement.endpointStart;
-    if (isSameInstance && announcement.sequence <= m_current->sequence) {
+    const bool isCurrent = isSameInstance(m_current, announcement);
+    const auto &latest = isCurrent ? m_current : m_notServed;
+    if (isSameInstance(latest, announcement) && announcement.sequence <= latest->sequence) {
         return announcement_effect::unchanged;
     }
     // A network partition may have delayed a heartbeat of an earlier instance.
-    if (m_current && !isSameInstance && announcement.endpointStart < m_current->endpointStart) {
+    if (m_current && !isCurrent && announcement.endpointStart < m_current->endpointStart) {
+        return announcement_effect::unchanged;
+    }
+    if (!isCurrent && announcement.isDraining) {
+        m_notServed = announcement;
         return announcement_effect::unchanged;
     }
-    const bool startsToDrain = announcement.isDraining && !(isSameInstance && m_current->isDraining);
-    const bool isResized = isSameInstance && announcement.capacity != m_current->capacity;
+    const bool startsToDrain = announcement.isDraining && !m_current->isDraining;
+    const bool isResized = isCurrent && announcement.capacity != m_current->capacity;
     m_current = announcement;
-    if (!isSameInstance || !m_isAdopted) {
+    if (!isCurrent || !m_isAdopted) {
         m_isAdopted = !announcement.isDraining;
         return m_isAdopted ? announcement_effect::adopt : announcement_effect::unchanged;
     }
--- a/src/agent/run/endpoint_watch.h
+++ b/src/agent/run/endpoint_watch.h
@@ -47,8 +47,11 @@
     const std::optional<endpoint_announcement> &current() const;
 
 private:
+    static bool isSameInstance(const std::optional<endpoint_announcement> &known, const endpoint_announcement &announcement);
+
     std::string m_service;
     std::optional<endpoint_announcement> m_current;
+    std::optional<endpoint_announcement> m_notServed; ///< The latest instance that was draining when it was announced first.
     std::optional<endpoint_announcement> m_confirmed; ///< The latest instance that has answered calls.
     bool m_isAdopted = false;
 };
--- a/src/platform/heartbeat_codec.cpp
+++ b/src/platform/heartbeat_codec.cpp
@@ -32,6 +32,17 @@
     });
 }
 
+// Checks the members that the agent does not use. A heartbeat that lacks one of them, or has it with another type, comes from another
+// writer, and must not count as one of the endpoint.
+bool hasUnusedMembers(const json &object)
+{
+    const json *labels = findMember(object, "Labels");
+    return readText(object, "Version") && readNumber(object, "ColdRemainingMs") && readNumber(object, "ClockMs") && readOptionalNumber(object, "RemainingMs")
+        && labels != nullptr && labels->is_array() && std::ranges::all_of(*labels, [](const json &label) {
+               return label.is_string();
+           });
+}
+
 // Checks that the address names an endpoint that can be called: an IP address and a port other than zero.
 bool isCallable(const std::string &address)
 {
@@ -47,7 +58,7 @@
 std::optional<endpoint_announcement> decodeHeartbeat(std::string_view id, std::string_view text)
 {
     const auto object = parseJson(text);
-    if (!object || !isId(id)) {
+    if (!object || !isId(id) || !hasUnusedMembers(*object)) {
         return std::nullopt;
     }
     const auto service = readText(*object, "Service");
--- a/tests/agent/run/endpoint_watch_test.cpp
+++ b/tests/agent/run/endpoint_watch_test.cpp
@@ -67,6 +67,29 @@
     BOOST_TEST((watch.applyHeartbeat(heartbeat(50ms, 9)) == announcement_effect::unchanged));
 }
 
+// Guards against a draining heartbeat of another writer with a later start time, which is not adopted but would make the heartbeats of the
+// endpoint, its draining included, look like those of an earlier instance.
+BOOST_AUTO_TEST_CASE(aDrainingInstanceThatIsNotServedHidesNothing)
+{
+    endpoint_watch watch("register");
+    watch.applyHeartbeat(heartbeat(100ms, 5));
+    watch.markConfirmed();
+    endpoint_announcement other = heartbeat(9000ms, 1, true);
+    other.id = "i-other";
+    BOOST_TEST((watch.applyHeartbeat(other) == announcement_effect::unchanged));
+    BOOST_TEST((watch.current()->endpointStart == 100ms));
+    BOOST_TEST((watch.applyHeartbeat(heartbeat(100ms, 6, true)) == announcement_effect::drain));
+}
+
+// Guards against a delayed heartbeat that makes the agent serve an instance which has begun to drain before.
+BOOST_AUTO_TEST_CASE(ignoresAnOlderHeartbeatOfADrainingInstance)
+{
+    endpoint_watch watch("register");
+    BOOST_TEST((watch.applyHeartbeat(heartbeat(100ms, 5, true)) == announcement_effect::unchanged));
+    BOOST_TEST((watch.applyHeartbeat(heartbeat(100ms, 4)) == announcement_effect::unchanged));
+    BOOST_TEST((watch.applyHeartbeat(heartbeat(100ms, 6)) == announcement_effect::adopt));
+}
+
 // Guards against a confirmed instance that has crashed and returns by a delayed heartbeat of an earlier one.
 BOOST_AUTO_TEST_CASE(keepsTheStartOfAConfirmedInstance)
 {
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -42,7 +42,8 @@
 
 BOOST_AUTO_TEST_SUITE(platform_codec_test)
 
-// Guards against malformed heartbeats that are accepted.
+// Guards against malformed heartbeats that are accepted, also if only a field that the agent does not use is malformed: such a heartbeat
+// comes from another writer, and its sequence number would hide those of the endpoint.
 BOOST_AUTO_TEST_CASE(refusesMalformedHeartbeats)
 {
     const auto good = decodeHeartbeat("i-1", heartbeat().dump());
@@ -51,15 +52,21 @@
     BOOST_TEST((good->endpointStart == 1700000000000ms));
     const json members = heartbeat();
     for (const auto &[name, value] : members.items()) {
-        if (name == "Version" || name == "ColdRemainingMs" || name == "Labels" || name == "ClockMs") {
-            continue; // The decoder ignores these.
-        }
         json wrong = heartbeat();
         wrong[name] = json::array({true});
         BOOST_TEST(!decodeHeartbeat("i-1", wrong.dump()).has_value(), name);
         wrong.erase(name);
         BOOST_TEST((decodeHeartbeat("i-1", wrong.dump()).has_value() == (name == "born")), name);
     }
+    json draining = heartbeat();
+    draining["State"] = "draining";
+    draining["RemainingMs"] = 10000;
+    BOOST_TEST(decodeHeartbeat("i-1", draining.dump()).value().isDraining);
+    draining["RemainingMs"] = "10000";
+    BOOST_TEST(!decodeHeartbeat("i-1", draining.dump()).has_value());
+    json numbered = heartbeat();
+    numbered["Labels"] = {"a", 1};
+    BOOST_TEST(!decodeHeartbeat("i-1", numbered.dump()).has_value());
     json unknown = heartbeat();
     unknown["State"] = "asleep";
     BOOST_TEST(!decodeHeartbeat("i-1", unknown.dump()).has_value());
