Use the real session monitor in the simulated sessions

Both sides of chain_session kept a lease of their own, without the half lease that session_monitor grants once after a pause. A connection can be cut in one direction and reset at one side; a side that alone saw the reset answers each later message with a reset, as a kernel does.

--- a/tests/chain/chain_session.cpp
+++ b/tests/chain/chain_session.cpp
@@ -1,5 +1,7 @@
 #include "chain/chain_session.h"
 
+#include "member/session_state.h"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -28,14 +30,26 @@
 chain_session::chain_session(virtual_timeline &timeline, seeded_random &random, simulated_process &entry, simulated_process &agent, session_events events)
     : m_timeline(timeline)
     , m_random(random)
-    , m_entry{.process = entry, .joined = std::move(events.agentJoined), .lost = std::move(events.agentLost), .incoming = {}}
-    , m_agent{.process = agent, .joined = std::move(events.entryJoined), .lost = std::move(events.entryLost), .incoming = {}}
+    , m_entry{.process = entry,
+              .joined = std::move(events.agentJoined),
+              .lost = std::move(events.agentLost),
+              .monitor = session_monitor(Lease, Heartbeat, timeline.now())}
+    , m_agent{.process = agent,
+              .joined = std::move(events.entryJoined),
+              .lost = std::move(events.entryLost),
+              .monitor = session_monitor(Lease, Heartbeat, timeline.now())}
+{
+}
+
+bool chain_session::isCut(const side &to) const
 {
+    return to.cutUntil > m_timeline.now();
 }
 
-bool chain_session::isCut() const
+// A connection can be made only if both directions work.
+bool chain_session::isAnyCut() const
 {
-    return m_cutUntil > m_timeline.now();
+    return isCut(m_entry) || isCut(m_agent);
 }
 
 bool chain_session::isOpenAtEntry() const
@@ -55,11 +69,11 @@
 
 void chain_session::dial()
 {
-    if (isCut()) {
+    if (isAnyCut()) {
         return;
     }
     m_entry.process.post(process_lane::rpc, m_random.between(MinDelay, MaxDelay), [this] {
-        if (isCut()) {
+        if (isAnyCut()) {
             return;
         }
         close(m_entry, false);
@@ -74,13 +88,12 @@
 {
     one.isOpen = true;
     one.session = session;
-    one.heard = m_timeline.now();
-    one.sent = m_timeline.now();
+    one.monitor = session_monitor(Lease, Heartbeat, m_timeline.now());
     one.joined();
     tick(one, session);
 }
 
-// Closes one side. The other side gets a reset, unless the connection is cut.
+// Closes one side. The other side gets a reset, unless the connection to it is cut.
 void chain_session::close(side &one, bool notifiesPeer)
 {
     if (!one.isOpen) {
@@ -88,16 +101,21 @@
     }
     one.isOpen = false;
     one.lost();
-    if (notifiesPeer && !isCut()) {
-        side &peer = peerOf(one);
-        peer.process.post(process_lane::rpc, m_random.between(MinDelay, MaxDelay), [this, &peer, session = one.session] {
-            if (peer.isOpen && peer.session == session) {
-                close(peer, false);
-            }
-        });
+    if (notifiesPeer && !isCut(peerOf(one))) {
+        sendReset(peerOf(one), one.session);
     }
 }
 
+// The RPC thread notices a reset after the messages that arrived before it.
+void chain_session::sendReset(side &to, std::uint64_t session)
+{
+    to.process.post(process_lane::rpc, m_random.between(MinDelay, MaxDelay), [this, &to, session] {
+        if (to.isOpen && to.session == session) {
+            close(to, false);
+        }
+    });
+}
+
 void chain_session::sendToAgent(std::function<void()> deliver)
 {
     if (m_entry.isOpen) {
@@ -114,7 +132,7 @@
 
 void chain_session::send(side &from, side &to, bool isWelcome, std::function<void()> deliver)
 {
-    from.sent = m_timeline.now();
+    from.monitor.recordSent(m_timeline.now());
     mono_time due = m_timeline.now() + m_random.between(MinDelay, MaxDelay);
     if (!to.incoming.empty()) {
         due = std::max(due, to.incoming.back().due);
@@ -128,21 +146,26 @@
 // Delivers the messages that are due, or tries again once the cut is over.
 void chain_session::pump(side &to)
 {
-    if (isCut() && !to.incoming.empty()) {
-        m_timeline.at(m_cutUntil + m_random.between(0us, MaxRetransmissionDelay), [this, &to] {
+    if (isCut(to) && !to.incoming.empty()) {
+        m_timeline.at(to.cutUntil + m_random.between(0us, MaxRetransmissionDelay), [this, &to] {
             pump(to);
         });
         return;
     }
     while (!to.incoming.empty() && to.incoming.front().due <= m_timeline.now()) {
-        to.process.post(process_lane::rpc, 0us, [this, &to, one = std::move(to.incoming.front())] {
-            receive(to, one);
-        });
+        const detail::session_message one = std::move(to.incoming.front());
         to.incoming.pop_front();
+        if (one.session != to.resetSession) {
+            to.process.post(process_lane::rpc, 0us, [this, &to, one] {
+                receive(to, one);
+            });
+        } else if (!isCut(peerOf(to))) {
+            sendReset(peerOf(to), one.session);
+        }
     }
 }
 
-void chain_session::receive(side &to, const message &one)
+void chain_session::receive(side &to, const detail::session_message &one)
 {
     const bool isNewest = one.session == m_sessions;
     if (one.isWelcome ? !isNewest : (!to.isOpen || to.session != one.session)) {
@@ -151,7 +174,7 @@
     if (one.isWelcome) {
         close(to, false);
     }
-    to.heard = m_timeline.now();
+    to.monitor.recordReceived(m_timeline.now());
     one.deliver();
 }
 
@@ -161,11 +184,12 @@
     if (!one.isOpen || one.session != session) {
         return;
     }
-    if (m_timeline.now() - one.heard > Lease) {
+    const session_state state = one.monitor.check(m_timeline.now());
+    if (state == session_state::expired) {
         close(one, true);
         return;
     }
-    if (m_timeline.now() - one.sent >= Heartbeat) {
+    if (state == session_state::heartbeatDue) {
         send(one, peerOf(one), false, [] {});
     }
     one.process.wake(process_lane::rpc, Tick, [this, &one, session] {
@@ -183,30 +207,51 @@
     side &killed = isEntry ? m_entry : m_agent;
     const bool wasOpen = std::exchange(killed.isOpen, false);
     killed.incoming.clear();
-    if (wasOpen && isReset && !isCut()) {
-        side &peer = peerOf(killed);
-        peer.process.post(process_lane::rpc, m_random.between(MinDelay, MaxDelay), [this, &peer, session = killed.session] {
-            if (peer.isOpen && peer.session == session) {
-                close(peer, false);
-            }
-        });
+    if (wasOpen && isReset && !isCut(peerOf(killed))) {
+        sendReset(peerOf(killed), killed.session);
     }
 }
 
 void chain_session::reset()
 {
     for (side *one : {&m_entry, &m_agent}) {
-        one->process.post(process_lane::rpc, m_random.between(MinDelay, MaxDelay), [this, one, session = one->session] {
-            if (one->isOpen && one->session == session) {
-                close(*one, false);
-            }
-        });
+        sendReset(*one, one->session);
+    }
+}
+
+void chain_session::resetAtEntry()
+{
+    resetOnly(m_entry);
+}
+
+void chain_session::resetAtAgent()
+{
+    resetOnly(m_agent);
+}
+
+// The kernel knows of the reset at once, the process when its RPC thread reads it.
+void chain_session::resetOnly(side &one)
+{
+    if (one.isOpen) {
+        one.resetSession = one.session;
+        sendReset(one, one.session);
     }
 }
 
 void chain_session::cut(mono_time until)
 {
-    m_cutUntil = std::max(m_cutUntil, until);
+    cutToAgent(until);
+    cutToEntry(until);
+}
+
+void chain_session::cutToAgent(mono_time until)
+{
+    m_agent.cutUntil = std::max(m_agent.cutUntil, until);
+}
+
+void chain_session::cutToEntry(mono_time until)
+{
+    m_entry.cutUntil = std::max(m_entry.cutUntil, until);
 }
 
 } // namespace teaselward
--- a/tests/chain/chain_session.h
+++ b/tests/chain/chain_session.h
@@ -3,19 +3,20 @@
 #include "base/clock.h"
 #include "chain/seeded_random.h"
 #include "chain/session_events.h"
+#include "chain/session_side.h"
 #include "chain/simulated_process.h"
 #include "chain/virtual_timeline.h"
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 
 namespace teaselward
 {
 
 /**
- * Session between an entry and an agent over a connection that can be cut, with heartbeats and leases as on the users' platform.
- * Messages arrive in order. While the connection is cut they wait; they are lost if either side closes the session meanwhile.
+ * Session between an entry and an agent over a connection that can be cut in one or both directions. The heartbeats and leases of both
+ * sides are those of session_monitor, with the times of the users' platform. Messages arrive in order. While the connection is cut they
+ * wait; they are lost if either side closes the session meanwhile.
  */
 class chain_session
 {
@@ -58,12 +59,30 @@
     /** Resets the connection; both sides see it. */
     void reset();
 
+    /** Resets the connection at the entry only. The agent learns of it by the answer to its next message, or by its lease. */
+    void resetAtEntry();
+
+    /** Resets the connection at the agent only. The entry learns of it by the answer to its next message, or by its lease. */
+    void resetAtAgent();
+
     /**
-     * Cuts the connection.
+     * Cuts the connection in both directions.
      * @param until end of the cut
      */
     void cut(mono_time until);
 
+    /**
+     * Cuts the connection from the entry to the agent.
+     * @param until end of the cut
+     */
+    void cutToAgent(mono_time until);
+
+    /**
+     * Cuts the connection from the agent to the entry.
+     * @param until end of the cut
+     */
+    void cutToEntry(mono_time until);
+
     /** @return whether the session is open at the entry */
     bool isOpenAtEntry() const;
 
@@ -71,38 +90,25 @@
     bool isOpenAtAgent() const;
 
 private:
-    struct message {
-        mono_time due{};
-        std::uint64_t session = 0;
-        bool isWelcome = false;
-        std::function<void()> deliver;
-    };
-    struct side {
-        simulated_process &process;
-        std::function<void()> joined;
-        std::function<void()> lost;
-        bool isOpen = false;
-        std::uint64_t session = 0; ///< Number of the open session.
-        mono_time heard{};
-        mono_time sent{};
-        std::deque<message> incoming;
-    };
+    using side = detail::session_side;
 
     void open(side &one, std::uint64_t session);
     void close(side &one, bool notifiesPeer);
     void send(side &from, side &to, bool isWelcome, std::function<void()> deliver);
     void pump(side &to);
-    void receive(side &to, const message &one);
+    void receive(side &to, const detail::session_message &one);
     void tick(side &one, std::uint64_t session);
+    void sendReset(side &to, std::uint64_t session);
+    void resetOnly(side &one);
     side &peerOf(side &one);
-    bool isCut() const;
+    bool isCut(const side &to) const;
+    bool isAnyCut() const;
 
     virtual_timeline &m_timeline;
     seeded_random &m_random;
     side m_entry;
     side m_agent;
     std::uint64_t m_sessions = 0;
-    mono_time m_cutUntil{};
 };
 
 } // namespace teaselward
