Keep the order of callbacks of a thread that is frozen again

A callback that waited for the end of a freeze was registered anew when the freeze was extended meanwhile, and so ran behind callbacks that became due later. A simulated entry thereby handled the loss of a session after the begin of the next one, as no ring does. Waiting callbacks are now kept in a queue of their thread.

--- a/tests/chain/simulated_process.cpp
+++ b/tests/chain/simulated_process.cpp
@@ -1,6 +1,7 @@
 #include "chain/simulated_process.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace teaselward
 {
@@ -34,7 +35,7 @@
 
 void simulated_process::post(process_lane lane, std::chrono::nanoseconds delay, std::function<void()> callback)
 {
-    mono_time &lastDue = m_lanes.at(static_cast<std::size_t>(lane)).lastDue;
+    mono_time &lastDue = stateOf(lane).lastDue;
     lastDue = std::max(lastDue, m_timeline.now() + delay + wakeDelay());
     schedule(lane, lastDue, std::move(callback));
 }
@@ -53,25 +54,60 @@
     }
 }
 
+// A callback waits behind those that became due before it.
 void simulated_process::run(process_lane lane, std::uint64_t incarnation, const std::function<void()> &callback)
 {
     if (!m_isAlive || incarnation != m_incarnation) {
         return;
     }
-    lane_state &state = m_lanes.at(static_cast<std::size_t>(lane));
-    const mono_time readyAt = std::max(state.frozenUntil, state.busyUntil);
-    if (readyAt > m_timeline.now()) {
-        m_timeline.at(readyAt, [this, lane, incarnation, callback] {
-            run(lane, incarnation, callback);
-        });
+    lane_state &state = stateOf(lane);
+    if (!state.waiting.empty()) {
+        state.waiting.push_back(callback);
+    } else if (state.readyAt() > m_timeline.now()) {
+        state.waiting.push_back(callback);
+        resumeLater(lane);
+    } else {
+        execute(state, callback);
+    }
+}
+
+void simulated_process::resumeLater(process_lane lane)
+{
+    m_timeline.at(stateOf(lane).readyAt(), [this, lane, incarnation = m_incarnation] {
+        resume(lane, incarnation);
+    });
+}
+
+// The thread may have been frozen again since the resumption was registered.
+void simulated_process::resume(process_lane lane, std::uint64_t incarnation)
+{
+    if (!m_isAlive || incarnation != m_incarnation) {
         return;
     }
+    lane_state &state = stateOf(lane);
+    while (!state.waiting.empty() && state.readyAt() <= m_timeline.now()) {
+        const std::function<void()> callback = std::move(state.waiting.front());
+        state.waiting.pop_front();
+        execute(state, callback);
+    }
+    if (!state.waiting.empty()) {
+        resumeLater(lane);
+    }
+}
+
+void simulated_process::execute(lane_state &state, const std::function<void()> &callback)
+{
     if (m_slowUntil > m_timeline.now()) {
         state.busyUntil = m_timeline.now() + m_callbackTime;
     }
     callback();
 }
 
+simulated_process::lane_state &simulated_process::stateOf(process_lane lane)
+{
+    return m_lanes.at(static_cast<std::size_t>(lane));
+}
+
 void simulated_process::kill()
 {
     m_isAlive = false;
@@ -94,7 +130,7 @@
 
 void simulated_process::freeze(process_lane lane, std::chrono::microseconds length)
 {
-    lane_state &state = m_lanes.at(static_cast<std::size_t>(lane));
+    lane_state &state = stateOf(lane);
     state.frozenUntil = std::max(state.frozenUntil, m_timeline.now() + length);
 }
 
--- a/tests/chain/simulated_process.h
+++ b/tests/chain/simulated_process.h
@@ -5,10 +5,12 @@
 #include "chain/seeded_random.h"
 #include "chain/virtual_timeline.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 
 namespace teaselward
@@ -77,13 +79,24 @@
     std::chrono::microseconds wakeDelay();
     void schedule(process_lane lane, mono_time due, std::function<void()> callback);
     void run(process_lane lane, std::uint64_t incarnation, const std::function<void()> &callback);
+    void resumeLater(process_lane lane);
+    void resume(process_lane lane, std::uint64_t incarnation);
 
     struct lane_state {
+        mono_time readyAt() const
+        {
+            return std::max(frozenUntil, busyUntil);
+        }
+
         mono_time lastDue{}; ///< Callbacks posted later run no earlier.
         mono_time frozenUntil{};
         mono_time busyUntil{}; ///< The current callback takes until then.
+        std::deque<std::function<void()>> waiting; ///< Callbacks that became due while the thread was frozen or busy.
     };
 
+    lane_state &stateOf(process_lane lane);
+    void execute(lane_state &state, const std::function<void()> &callback);
+
     virtual_timeline &m_timeline;
     seeded_random &m_random;
     std::array<lane_state, LaneCount> m_lanes{};
