--- a/tests/chain/chain_simulation.cpp
+++ b/tests/chain/chain_simulation.cpp
@@ -3,6 +3,7 @@
 #include "config/route_rules.h"
 #include "core/concat.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -33,21 +34,22 @@
 
 } // namespace
 
-chain_simulation::chain_simulation(std::uint32_t seed, const chain_faults &faults, const caller_pattern &callers, std::ostream *trace)
+chain_simulation::chain_simulation(std::uint32_t seed, const chain_faults &faults, const caller_pattern &callers, const site_size &site, std::ostream *trace)
     : m_random(seed)
     , m_faults(faults)
     , m_callers(callers)
+    , m_site(site)
     , m_trace(trace)
     , m_eventLog("simulation", m_timeline, trace)
     , m_runLog("workers", m_timeline, trace)
     , m_runs(m_runLog)
 {
-    for (std::size_t agent = 0; agent < Agents; ++agent) {
+    for (std::size_t agent = 0; agent < m_site.agents; ++agent) {
         addAgent(agent);
     }
-    for (std::size_t entry = 0; entry < Entries; ++entry) {
+    for (std::size_t entry = 0; entry < m_site.entries; ++entry) {
         addEntry(entry);
-        for (std::size_t agent = 0; agent < Agents; ++agent) {
+        for (std::size_t agent = 0; agent < m_site.agents; ++agent) {
             addSession(entry, agent);
         }
     }
@@ -76,7 +78,7 @@
         });
     };
     links.notify = [this, agent](const entry_id &id, const entry_event &event) {
-        for (std::size_t entry = 0; entry < Entries; ++entry) {
+        for (std::size_t entry = 0; entry < m_site.entries; ++entry) {
             if (m_entries[entry]->info().id == id) {
                 session(entry, agent).sendToEntry([this, entry, event] {
                     m_entries[entry]->handle(event);
@@ -85,23 +87,42 @@
         }
     };
     links.closeSessions = [this, agent] {
-        for (std::size_t entry = 0; entry < Entries; ++entry) {
+        for (std::size_t entry = 0; entry < m_site.entries; ++entry) {
             session(entry, agent).closeAtAgent();
         }
     };
     links.dial = [this, agent] {
-        for (std::size_t entry = 0; entry < Entries; ++entry) {
-            if (!session(entry, agent).isOpenAtAgent()) {
-                m_dialled[{entry, agent}] = m_agents[agent]->info();
-                session(entry, agent).dial();
-            }
-        }
+        dialEntries(agent);
     };
     m_workers.push_back(std::make_unique<simulated_worker>(agent, m_timeline, m_random, m_runs));
     logger &log = addLog(concat("agent ", agent));
     m_agents.push_back(std::make_unique<agent_node>(agent, m_timeline, m_random, *m_workers.back(), m_faults, std::move(links), log));
 }
 
+// An agent without a session with each entry begins with another entry each time, so that it leaves one that does not answer.
+void chain_simulation::dialEntries(std::size_t agent)
+{
+    std::size_t missing = m_site.sessions - std::min(m_site.sessions, openSessions(agent));
+    const std::size_t first = m_site.sessions < m_site.entries && missing > 0 ? m_firstDialled[agent]++ + agent : 0;
+    for (std::size_t i = 0; i < m_site.entries && missing > 0; ++i) {
+        const std::size_t entry = (first + i) % m_site.entries;
+        if (!session(entry, agent).isOpenAtAgent()) {
+            m_dialled[{entry, agent}] = m_agents[agent]->info();
+            session(entry, agent).dial();
+            --missing;
+        }
+    }
+}
+
+std::size_t chain_simulation::openSessions(std::size_t agent) const
+{
+    std::size_t open = 0;
+    for (std::size_t entry = 0; entry < m_site.entries; ++entry) {
+        open += m_sessions.at({entry, agent})->isOpenAtAgent() ? 1 : 0;
+    }
+    return open;
+}
+
 void chain_simulation::addEntry(std::size_t entry)
 {
     entry_node_links links;
@@ -157,7 +178,7 @@
 {
     const entry_id self = m_entries[entry]->info().id;
     const auto send = [this, entry](const agent_id &id, const std::function<agent_event(call_id)> &event) {
-        for (std::size_t agent = 0; agent < Agents; ++agent) {
+        for (std::size_t agent = 0; agent < m_site.agents; ++agent) {
             const auto registered = m_registered.find({entry, agent});
             if (registered != m_registered.end() && registered->second.id == id && session(entry, agent).isOpenAtEntry()) {
                 sendCall(entry, agent, event);
--- a/tests/chain/chain_simulation.h
+++ b/tests/chain/chain_simulation.h
@@ -11,6 +11,7 @@
 #include "chain/run_log.h"
 #include "chain/seeded_random.h"
 #include "chain/simulated_worker.h"
+#include "chain/site_size.h"
 #include "chain/virtual_timeline.h"
 #include "core/agent_info.h"
 #include "core/entry_info.h"
@@ -41,9 +42,11 @@
      * @param seed seed of all random decisions
      * @param faults faults to inject
      * @param callers behaviour of the callers
+     * @param site size of the site
      * @param trace receives the log lines of all parts; may be null, and must outlive the simulation otherwise
      */
-    chain_simulation(std::uint32_t seed, const chain_faults &faults, const caller_pattern &callers = {}, std::ostream *trace = nullptr);
+    chain_simulation(
+        std::uint32_t seed, const chain_faults &faults, const caller_pattern &callers = {}, const site_size &site = {}, std::ostream *trace = nullptr);
     ~chain_simulation();
 
     chain_simulation(const chain_simulation &) = delete;
@@ -81,12 +84,16 @@
     /** @return number of runs that ended since their lease was not renewed */
     std::size_t lapsedRuns() const;
 
+    /**
+     * Counts the sessions of an agent.
+     * @param agent position of the agent
+     * @return number of entries with which it has an open session
+     */
+    std::size_t openSessions(std::size_t agent) const;
+
     /** @return number of times that an agent took its worker as lost */
     std::size_t lostWorkers() const;
 
-    static constexpr std::size_t Entries = 3;
-    static constexpr std::size_t Agents = 4;
-
 private:
     using fault = void (chain_simulation::*)();
 
@@ -105,6 +112,7 @@
 
     logger &addLog(const std::string &name);
     void addAgent(std::size_t agent);
+    void dialEntries(std::size_t agent);
     void addEntry(std::size_t entry);
     void addSession(std::size_t entry, std::size_t agent);
     bool sendToAgent(std::size_t entry, const entry_action &action);
@@ -147,6 +155,7 @@
     seeded_random m_random;
     chain_faults m_faults;
     caller_pattern m_callers;
+    site_size m_site;
     std::ostream *m_trace;
     std::vector<std::unique_ptr<node_log>> m_logs;
     node_log m_eventLog;
@@ -160,6 +169,7 @@
     std::map<std::pair<std::size_t, std::size_t>, agent_info> m_registered; ///< Agent of the latest session at the entry.
     std::map<std::pair<std::size_t, std::size_t>, entry_info> m_welcomes; ///< Entry of the latest session, as told to the agent.
     std::map<std::pair<std::size_t, std::size_t>, entry_info> m_joined; ///< Entry of the latest session at the agent.
+    std::map<std::size_t, std::size_t> m_firstDialled; ///< Entry at which an agent tries first to register; differs each time.
     std::map<std::uint64_t, agent_call> m_calls;
     std::uint64_t m_lastCall = 0;
     std::vector<chain_job> m_jobs;
--- a/tests/chain/chain_simulation_callers.cpp
+++ b/tests/chain/chain_simulation_callers.cpp
@@ -26,7 +26,7 @@
 {
     const bool isLong = m_random.chance(m_callers.longTasks);
     const auto work = isLong ? m_random.between(m_callers.minWork, m_callers.maxWork) : m_random.between(30ms, 800ms);
-    submit(addJob(work, m_callers.limit, 1 + m_random.below(m_callers.maxTasks)), m_random.below(Entries));
+    submit(addJob(work, m_callers.limit, 1 + m_random.below(m_callers.maxTasks)), m_random.below(m_site.entries));
 }
 
 // Adds a job without submitting it. Returns its position.
@@ -72,7 +72,7 @@
     if (!m_callers.submitsAgain || m_jobs[job].submissions >= MaxSubmissions) {
         return;
     }
-    const std::size_t entry = (m_jobs[job].entry + 1 + m_random.below(Entries - 1)) % Entries;
+    const std::size_t entry = (m_jobs[job].entry + 1 + m_random.below(m_site.entries - 1)) % m_site.entries;
     m_timeline.after(delay, [this, job, entry] {
         submit(job, entry);
     });
--- a/tests/chain/chain_simulation_faults.cpp
+++ b/tests/chain/chain_simulation_faults.cpp
@@ -41,13 +41,13 @@
 
 void chain_simulation::killEntry()
 {
-    loseEntry(m_random.below(Entries), true);
+    loseEntry(m_random.below(m_site.entries), true);
 }
 
 // The callers see broken connections at once, as after a kill; the agents see nothing.
 void chain_simulation::cutPowerOfEntry()
 {
-    loseEntry(m_random.below(Entries), false);
+    loseEntry(m_random.below(m_site.entries), false);
 }
 
 void chain_simulation::loseEntry(std::size_t entry, bool isReset)
@@ -55,7 +55,7 @@
     if (!m_entries[entry]->process().isAlive()) {
         return;
     }
-    for (std::size_t agent = 0; agent < Agents; ++agent) {
+    for (std::size_t agent = 0; agent < m_site.agents; ++agent) {
         session(entry, agent).processKilled(true, isReset);
     }
     m_entries[entry]->kill();
@@ -71,25 +71,25 @@
 
 void chain_simulation::freezeEntry()
 {
-    m_entries[m_random.below(Entries)]->process().freeze(m_random.between(MinOutage, MaxOutage));
+    m_entries[m_random.below(m_site.entries)]->process().freeze(m_random.between(MinOutage, MaxOutage));
 }
 
 void chain_simulation::cutOffEntry()
 {
-    const std::size_t entry = m_random.below(Entries);
+    const std::size_t entry = m_random.below(m_site.entries);
     const mono_time until = m_timeline.now() + m_random.between(MinOutage, MaxOutage);
-    for (std::size_t agent = 0; agent < Agents; ++agent) {
+    for (std::size_t agent = 0; agent < m_site.agents; ++agent) {
         session(entry, agent).cut(until);
     }
 }
 
 void chain_simulation::killAgent()
 {
-    const std::size_t agent = m_random.below(Agents);
+    const std::size_t agent = m_random.below(m_site.agents);
     if (!m_agents[agent]->process().isAlive()) {
         return;
     }
-    for (std::size_t entry = 0; entry < Entries; ++entry) {
+    for (std::size_t entry = 0; entry < m_site.entries; ++entry) {
         session(entry, agent).processKilled(false, m_random.chance(0.5));
     }
     m_agents[agent]->kill();
@@ -100,14 +100,14 @@
 
 void chain_simulation::freezeAgent()
 {
-    m_agents[m_random.below(Agents)]->process().freeze(m_random.between(MinOutage, MaxOutage));
+    m_agents[m_random.below(m_site.agents)]->process().freeze(m_random.between(MinOutage, MaxOutage));
 }
 
 void chain_simulation::cutOffAgent()
 {
-    const std::size_t agent = m_random.below(Agents);
+    const std::size_t agent = m_random.below(m_site.agents);
     const mono_time until = m_timeline.now() + m_random.between(MinOutage, MaxOutage);
-    for (std::size_t entry = 0; entry < Entries; ++entry) {
+    for (std::size_t entry = 0; entry < m_site.entries; ++entry) {
         session(entry, agent).cut(until);
     }
 }
@@ -124,8 +124,8 @@
 
 void chain_simulation::resetSessions()
 {
-    const std::size_t entry = m_random.below(Entries);
-    for (std::size_t agent = 0; agent < Agents; ++agent) {
+    const std::size_t entry = m_random.below(m_site.entries);
+    for (std::size_t agent = 0; agent < m_site.agents; ++agent) {
         session(entry, agent).reset();
     }
 }
--- a/tests/chain/chain_simulation_freezes.cpp
+++ b/tests/chain/chain_simulation_freezes.cpp
@@ -28,7 +28,7 @@
 {
     m_timeline.runUntil(m_timeline.now() + 1s);
     for (std::size_t round = 0; round < rounds; ++round) {
-        const std::size_t entry = m_random.below(Entries);
+        const std::size_t entry = m_random.below(m_site.entries);
         simulated_process &process = m_entries[entry]->process();
         if (pattern.isLoaded) {
             submit(addJob(MaxWork, CallerLimit, TasksOfJob), entry);
--- a/tests/chain/chain_simulation_link_faults.cpp
+++ b/tests/chain/chain_simulation_link_faults.cpp
@@ -24,7 +24,7 @@
 void chain_simulation::forSessionsOf(std::size_t node, const std::function<void(chain_session &session)> &action)
 {
     for (auto &[ends, one] : m_sessions) {
-        if (node < Entries ? ends.first == node : ends.second == node - Entries) {
+        if (node < m_site.entries ? ends.first == node : ends.second == node - m_site.entries) {
             action(*one);
         }
     }
--- a/tests/chain/chain_simulation_test.cpp
+++ b/tests/chain/chain_simulation_test.cpp
@@ -1,4 +1,5 @@
 #include "chain/chain_simulation.h"
+#include "chain/steady_callers.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -20,4 +21,18 @@
     BOOST_TEST(simulation.lostWorkers() == 0U);
 }
 
+// Guards against a large site whose agents register at all entries, at too few of them, or lose jobs by themselves.
+BOOST_AUTO_TEST_CASE(agentsOfALargeSiteHaveSessionsWithSomeEntries)
+{
+    chain_simulation simulation(1, {}, steadyCallers(LargeSite), LargeSite);
+    simulation.run(5s);
+    for (std::size_t agent = 0; agent < LargeSite.agents; ++agent) {
+        BOOST_TEST(simulation.openSessions(agent) == LargeSite.sessions);
+    }
+    BOOST_TEST(simulation.overlaps().empty());
+    BOOST_TEST(simulation.jobs() > 100U);
+    BOOST_TEST(simulation.completeJobs() == simulation.jobs());
+    BOOST_TEST(simulation.lostWorkers() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/chain/chain_simulation_thread_faults.cpp
+++ b/tests/chain/chain_simulation_thread_faults.cpp
@@ -74,7 +74,7 @@
 void chain_simulation::delayThread()
 {
     const std::size_t node = anyNode();
-    const std::size_t lane = m_random.below(node < Entries ? EntryLanes : Lanes.size());
+    const std::size_t lane = m_random.below(node < m_site.entries ? EntryLanes : Lanes.size());
     const std::size_t times = 1 + m_random.below(MaxThreadDelays);
     logEvent(concat("Late thread ", LaneNames.at(lane), " of ", nameOf(node), ", times ", times));
     delayAgain(processOf(node), Lanes.at(lane), times);
@@ -113,17 +113,17 @@
 // Entries come first in the numbers of nodes.
 std::size_t chain_simulation::anyNode()
 {
-    return m_random.below(Entries + Agents);
+    return m_random.below(m_site.entries + m_site.agents);
 }
 
 simulated_process &chain_simulation::processOf(std::size_t node)
 {
-    return node < Entries ? m_entries[node]->process() : m_agents[node - Entries]->process();
+    return node < m_site.entries ? m_entries[node]->process() : m_agents[node - m_site.entries]->process();
 }
 
 std::string chain_simulation::nameOf(std::size_t node) const
 {
-    return node < Entries ? concat("entry ", node) : concat("agent ", node - Entries);
+    return node < m_site.entries ? concat("entry ", node) : concat("agent ", node - m_site.entries);
 }
 
 void chain_simulation::logEvent(const std::string &line)
--- a/tests/chain/steady_callers_play.cpp
+++ b/tests/chain/steady_callers_play.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-void playWithSteadyCallers(const chain_faults &faults, seed_range seeds)
+void playWithSteadyCallers(const chain_faults &faults, seed_range seeds, const site_size &site)
 {
     if (const std::uint32_t last = numberOf("CHAIN_SEEDS"); last > 0) {
         seeds = {.first = 1, .last = last};
@@ -43,7 +43,7 @@
     std::size_t complete = 0;
     std::size_t runs = 0;
     for (std::uint32_t seed = seeds.first; seed <= seeds.last; ++seed) {
-        chain_simulation simulation(seed, faults, steadyCallers(), traced > 0 ? &std::cout : nullptr);
+        chain_simulation simulation(seed, faults, steadyCallers(site), site, traced > 0 ? &std::cout : nullptr);
         simulation.run(20s);
         BOOST_TEST_CONTEXT("seed " << seed)
         {
--- a/tests/chain/steady_callers_play.h
+++ b/tests/chain/steady_callers_play.h
@@ -2,6 +2,7 @@
 
 #include "chain/chain_faults.h"
 #include "chain/seed_range.h"
+#include "chain/site_size.h"
 
 namespace teaselward
 {
@@ -12,7 +13,8 @@
  * seed of plays that begin with seed 1, and CHAIN_TRACE the only seed to play, whose log lines go to the standard output.
  * @param faults faults to inject
  * @param seeds seeds to play
+ * @param site size of the site; the callers submit more jobs at a larger one
  */
-void playWithSteadyCallers(const chain_faults &faults, seed_range seeds);
+void playWithSteadyCallers(const chain_faults &faults, seed_range seeds, const site_size &site = {});
 
 } // namespace teaselward
