End the runs of an agent by dated confirmations of their home

Callers could see a task run twice: an entry starts a task again 1450 ms after it lost the session to the agent, and the agent could still run it.

Cause: the 1450 ms summed up times that the agent keeps only if its threads run on time. The lease of a session counted from the moment at which the RPC thread read bytes, plus half a lease after a pause; the stop then passed two rings, while the thread of the worker went on renewing the lease of the run. A start that had waited unread began at any age.

Now the agent dates each call to an entry before it is sent, and the answer confirms the session as of that time. run_supervisor, which renews the lease of the runs, refuses a start whose home was confirmed over 600 ms ago, stops the runs of such a home, and renews nothing 90 ms later, whether it was told of the loss or not. An agent calls each entry every 200 ms, whatever else it sends; an entry of an older version answers the call too.

Order that is impossible now: a run that goes on more than 600 + 90 + 663 ms after the agent sent the last call that its home answered. The home answers nothing after it has lost the session, and waits 1450 ms from then on. A pause or a late thread between any two steps only makes the confirmation older.

The new cases of run_supervisor_test do not compile on the code before, which knows no home.

--- a/src/agent/agent_action.h
+++ b/src/agent/agent_action.h
@@ -5,6 +5,7 @@
 #include "agent/action/answer_revoke.h"
 #include "agent/action/answer_start.h"
 #include "agent/action/call_endpoint.h"
+#include "agent/action/confirm_home.h"
 #include "agent/action/end_sessions.h"
 #include "agent/action/finish_agent_drain.h"
 #include "agent/action/grant_credits.h"
@@ -22,6 +23,7 @@
                                   answer_fence,
                                   call_endpoint,
                                   stop_call,
+                                  confirm_home,
                                   end_sessions,
                                   grant_credits,
                                   announce_leaving,
--- a/src/agent/agent_core_held.cpp
+++ b/src/agent/agent_core_held.cpp
@@ -4,6 +4,7 @@
 #include "core/task_log_fields.h"
 
 #include <chrono>
+#include <utility>
 
 // Starting, holding and refusing tasks.
 
@@ -31,8 +32,13 @@
     if (m_log.isEnabled()) {
         m_log.write(log_part::agent, concat("Started a task. ", taskLogFields(order.id), " kind=", order.kind, " entry=", from.value, " job=", order.key));
     }
-    m_actions->push_back(call_endpoint{
-        .id = order.id, .kind = order.kind, .payload = order.payload, .timeLimit = order.timeLimit, .key = order.key, .estimate = order.estimate});
+    call_endpoint action{
+        .id = order.id, .kind = order.kind, .payload = order.payload, .timeLimit = order.timeLimit, .key = order.key, .estimate = order.estimate};
+    if (order.restartable) {
+        action.homeSession = m_sessions.current(from);
+        action.homeConfirmedAt = m_sessions.confirmedAt(from);
+    }
+    m_actions->push_back(std::move(action));
 }
 
 // Checks whether a task fits beside the running tasks and the reserve for high-priority kinds.
--- a/src/agent/agent_core_private.cpp
+++ b/src/agent/agent_core_private.cpp
@@ -57,6 +57,7 @@
         &core::call<&core::onCallFinished, call_finished>,
         &core::call<&core::onEntryJoined, entry_joined>,
         &core::call<&core::onEntryLost, entry_lost>,
+        &core::call<&core::onEntryConfirmed, entry_confirmed>,
         &core::call<&core::onTimer, agent_timer_fired>,
         &core::call<&core::onDrainStarted, agent_drain_started>,
         &core::call<&core::onCapacityChanged, capacity_changed>,
@@ -307,7 +308,7 @@
 {
     dropHeldOf(event.info.id);
     stopRunsOf(event.info.id);
-    m_sessions.begin(event.info.id);
+    m_sessions.begin(event.info.id, event.confirmedAt);
     grant(m_credits.join(event.info.id, m_now), nullptr);
 }
 
@@ -320,6 +321,19 @@
     startHeld();
 }
 
+// A run carries the latest confirmation with its start, so the adapter needs no others while the entry has no run.
+void agent_core_private::onEntryConfirmed(const entry_confirmed &event)
+{
+    const std::uint64_t session = m_sessions.current(event.entry);
+    m_sessions.confirm(event.entry, event.at);
+    const auto isHome = [session](const auto &item) {
+        return item.second.calls.front().session == session;
+    };
+    if (session != 0 && std::ranges::any_of(m_running, isHome)) {
+        m_actions->push_back(confirm_home{.session = session, .at = event.at});
+    }
+}
+
 void agent_core_private::onTimer(const agent_timer_fired & /*event*/)
 {
 }
--- a/src/agent/agent_core_private.h
+++ b/src/agent/agent_core_private.h
@@ -49,6 +49,7 @@
     void onCallFinished(const call_finished &event);
     void onEntryJoined(const entry_joined &event);
     void onEntryLost(const entry_lost &event);
+    void onEntryConfirmed(const entry_confirmed &event);
     void onTimer(const agent_timer_fired &event);
     void onDrainStarted(const agent_drain_started &event);
     void onCapacityChanged(const capacity_changed &event);
--- a/src/agent/agent_event.h
+++ b/src/agent/agent_event.h
@@ -5,6 +5,7 @@
 #include "agent/event/call_finished.h"
 #include "agent/event/capacity_changed.h"
 #include "agent/event/demand_received.h"
+#include "agent/event/entry_confirmed.h"
 #include "agent/event/entry_joined.h"
 #include "agent/event/entry_lost.h"
 #include "agent/event/fence_received.h"
@@ -29,6 +30,7 @@
                                  call_finished,
                                  entry_joined,
                                  entry_lost,
+                                 entry_confirmed,
                                  agent_timer_fired,
                                  agent_drain_started,
                                  capacity_changed>;
--- a/src/agent/endpoint_port.h
+++ b/src/agent/endpoint_port.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/action/call_endpoint.h"
+#include "agent/action/confirm_home.h"
 #include "agent/action/stop_call.h"
 
 namespace teaselward
@@ -26,6 +27,13 @@
      */
     virtual bool post(const stop_call &stop) = 0;
 
+    /**
+     * Extends the time during which the runs of a home entry may go on.
+     * @param home the session and the time at which it was confirmed
+     * @return false if the adapter's ring is full
+     */
+    virtual bool post(const confirm_home &home) = 0;
+
     /** Stops accepting calls and waits for those in progress. */
     virtual void stop() = 0;
 };
--- a/src/agent/event/entry_joined.h
+++ b/src/agent/event/entry_joined.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "core/entry_info.h"
 
 namespace teaselward
@@ -8,6 +9,7 @@
 /** The agent registered with an entry. */
 struct entry_joined {
     entry_info info;
+    mono_time confirmedAt{}; ///< Time at which the registration was sent.
 };
 
 } // namespace teaselward
--- a/src/agent/run/run_supervisor.cpp
+++ b/src/agent/run/run_supervisor.cpp
@@ -44,8 +44,10 @@
 
 void run_supervisor::start(const call_endpoint &order, mono_time now)
 {
-    // While the lease is held back, a run could be lost with it at any moment, or the endpoint would refuse its expired lease.
-    if (d->detectSilence(now) || !d->ready || d->isLeaseHeldBack(now) || d->hasRunOfTask(order)) {
+    d->addHome(order);
+    // While the lease is held back, a run could be lost with it at any moment, or the endpoint would refuse its expired lease. The home of a
+    // start that has waited too long may have started the task elsewhere.
+    if (d->detectSilence(now) || !d->ready || d->isLeaseHeldBack(now) || d->hasRunOfTask(order) || d->homeEnd(order) <= now) {
         d->ends.push_back({.id = order.id, .outcome = {.verdict = task_verdict::notStarted, .why = reason::overloaded, .body = {}, .runTime = {}}});
         return;
     }
@@ -68,6 +70,13 @@
     }
 }
 
+void run_supervisor::confirmHome(const confirm_home &home)
+{
+    if (const auto found = d->homes.find(home.session); found != d->homes.end()) {
+        found->second = std::max(found->second, home.at);
+    }
+}
+
 // A run whose start was not answered may have started, may have ended, or may start seconds later; only a list requested from
 // now on decides.
 void run_supervisor::startAnswered(const run_id &id, call_result result, mono_time now)
@@ -193,6 +202,7 @@
     if (d->detectSilence(now)) {
         return;
     }
+    d->stopUnconfirmed(now);
     bool repeatsStops = false;
     for (auto &[id, run] : d->runs) {
         if (run.retryAt <= now) {
@@ -217,7 +227,7 @@
     mono_time due = d->isListPending() ? mono_time::max() : d->nextList;
     due = std::min(due, std::max(d->lastContact + d->settings.contactTimeout, d->latestLeaseEnd + d->settings.lease / 20) + std::chrono::milliseconds(1));
     for (const auto &[id, run] : d->runs) {
-        due = std::min({due, run.retryAt, run.stopRequested ? mono_time::max() : run.stopAt});
+        due = std::min({due, run.retryAt, run.stopRequested ? mono_time::max() : std::min(run.stopAt, d->homeEnd(run.order))});
     }
     return due;
 }
--- a/src/agent/run/run_supervisor.h
+++ b/src/agent/run/run_supervisor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/action/call_endpoint.h"
+#include "agent/action/confirm_home.h"
 #include "agent/event/call_finished.h"
 #include "agent/run/call_result.h"
 #include "agent/run/list_runs_result.h"
@@ -56,6 +57,12 @@
      */
     void stop(const task_id &task, mono_time now);
 
+    /**
+     * Extends the time during which the runs of a home entry may go on.
+     * @param home the session and the time at which it was confirmed
+     */
+    void confirmHome(const confirm_home &home);
+
     /**
      * Handles the answer to a start.
      * @param id the run
--- a/src/agent/run/run_supervisor_private.cpp
+++ b/src/agent/run/run_supervisor_private.cpp
@@ -57,11 +57,66 @@
 {
     const auto isOverdue = [this, now](const auto &item) {
         const supervised_run &run = item.second;
-        return run.endRequestedAt && run.state != run_state::stopped && now - *run.endRequestedAt >= settings.stopBound;
+        return run.state != run_state::stopped && now - endRequested(run) >= settings.stopBound;
     };
     return !orphans.empty() || std::ranges::any_of(runs, isOverdue);
 }
 
+// Returns the time at which the confirmation of a run's home ends. The confirmation is dated before the home's answer, so neither an
+// answer that waited nor a thread that was paused moves this time.
+mono_time run_supervisor_private::homeEnd(const call_endpoint &order) const
+{
+    if (order.homeSession == 0) {
+        return mono_time::max();
+    }
+    const auto found = homes.find(order.homeSession);
+    return (found != homes.end() ? found->second : order.homeConfirmedAt) + settings.homeLease;
+}
+
+// Keeps the latest confirmation of the home of a new order, and drops those of homes that have no run.
+void run_supervisor_private::addHome(const call_endpoint &order)
+{
+    if (order.homeSession == 0) {
+        return;
+    }
+    std::erase_if(homes, [this](const auto &home) {
+        return std::ranges::none_of(runs, [&home](const auto &item) {
+            return item.second.order.homeSession == home.first;
+        });
+    });
+    mono_time &confirmedAt = homes[order.homeSession];
+    confirmedAt = std::max(confirmedAt, order.homeConfirmedAt);
+}
+
+// Stops the runs whose home has not confirmed its session for too long.
+void run_supervisor_private::stopUnconfirmed(mono_time now)
+{
+    for (auto &[id, run] : runs) {
+        const mono_time end = homeEnd(run.order);
+        if (!run.stopRequested && end <= now) {
+            if (log.isEnabled()) {
+                const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - end + settings.homeLease);
+                log.write(log_part::agent,
+                          concat("The home entry has not confirmed its session. ",
+                                 taskLogFields(run.order.id),
+                                 " session=",
+                                 run.order.homeSession,
+                                 " evidence_age_ms=",
+                                 age.count()));
+            }
+            requestStop(run, reason::cancelled, now);
+        }
+    }
+}
+
+// Returns the time from which on a run must end: the request for its end, or the end of its home's confirmation if that comes first, even
+// if this thread has not acted on it yet.
+mono_time run_supervisor_private::endRequested(const supervised_run &run) const
+{
+    const mono_time end = homeEnd(run.order);
+    return run.endRequestedAt ? std::min(*run.endRequestedAt, end) : end;
+}
+
 // The first call, calls without recent contact and calls while the lease is held back renew no lease.
 void run_supervisor_private::sendList(std::chrono::milliseconds wait, mono_time now)
 {
@@ -114,7 +169,7 @@
 void run_supervisor_private::requestStop(supervised_run &run, reason why, mono_time now)
 {
     if (!run.endRequestedAt) {
-        run.endRequestedAt = now;
+        run.endRequestedAt = std::min(now, homeEnd(run.order));
     }
     if (run.stopRequested) {
         return;
--- a/src/agent/run/run_supervisor_private.h
+++ b/src/agent/run/run_supervisor_private.h
@@ -43,11 +43,16 @@
     bool hasRunOfTask(const call_endpoint &order) const;
     std::chrono::milliseconds leaseEnd(mono_time now) const;
     bool isLeaseHeldBack(mono_time now) const;
+    void addHome(const call_endpoint &order);
+    void stopUnconfirmed(mono_time now);
+    mono_time homeEnd(const call_endpoint &order) const;
+    mono_time endRequested(const supervised_run &run) const;
 
     const supervisor_settings settings;
     logger &log;
     std::map<run_id, supervised_run> runs; ///< Ordered, so that a seed of a simulation replays exactly.
     absl::flat_hash_set<run_id> orphans; ///< Runs that this agent did not request and is stopping.
+    std::map<std::uint64_t, mono_time> homes; ///< Latest confirmation of each home session with runs.
     std::vector<run_call> calls;
     std::vector<call_finished> ends;
     std::uint64_t token = 0;
--- a/src/agent/run/supervisor_settings.h
+++ b/src/agent/run/supervisor_settings.h
@@ -15,6 +15,11 @@
      * a caller resubmits a job, 1300 ms after a broken answer.
      */
     std::chrono::milliseconds lease{650};
+    /**
+     * A run is stopped once its home entry was last known this long ago not to have given up its session. The home starts the task
+     * elsewhere no earlier than this, stopBound and the lease after it gave up the session.
+     */
+    std::chrono::milliseconds homeLease{600};
     std::chrono::milliseconds renewal{200}; ///< Maximum wait of a list call, and so the interval of lease renewals.
     std::chrono::milliseconds busyListWait{50}; ///< Maximum wait of a list call while there are runs; a lost answer hides their ends for this long.
     std::chrono::milliseconds listRetry{20}; ///< Delay before a list call without an answer is repeated.
--- a/src/agent/session_table.h
+++ b/src/agent/session_table.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "base/clock.h"
 #include "core/entry_id.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -20,10 +22,23 @@
     /**
      * Starts a new registration; it replaces an earlier one of the entry.
      * @param entry the entry
+     * @param confirmedAt time at which the registration was sent
      */
-    void begin(const entry_id &entry)
+    void begin(const entry_id &entry, mono_time confirmedAt)
     {
-        m_sessions[entry] = ++m_last;
+        m_sessions[entry] = {.number = ++m_last, .confirmedAt = confirmedAt};
+    }
+
+    /**
+     * Records that an entry has answered a call. Ignored if the entry is not connected.
+     * @param entry the entry
+     * @param at time at which the call was sent
+     */
+    void confirm(const entry_id &entry, mono_time at)
+    {
+        if (const auto found = m_sessions.find(entry); found != m_sessions.end()) {
+            found->second.confirmedAt = std::max(found->second.confirmedAt, at);
+        }
     }
 
     /**
@@ -43,7 +58,18 @@
     std::uint64_t current(const entry_id &entry) const
     {
         const auto found = m_sessions.find(entry);
-        return found == m_sessions.end() ? 0 : found->second;
+        return found == m_sessions.end() ? 0 : found->second.number;
+    }
+
+    /**
+     * Finds out when an entry was last known not to have given up its registration.
+     * @param entry the entry
+     * @return the time, or the earliest time if the entry is not connected
+     */
+    mono_time confirmedAt(const entry_id &entry) const
+    {
+        const auto found = m_sessions.find(entry);
+        return found == m_sessions.end() ? mono_time{} : found->second.confirmedAt;
     }
 
     /** @return number of connected entries */
@@ -64,7 +90,12 @@
     }
 
 private:
-    std::map<entry_id, std::uint64_t> m_sessions; ///< Ordered, so that a seed replays exactly.
+    struct session {
+        std::uint64_t number = 0;
+        mono_time confirmedAt{};
+    };
+
+    std::map<entry_id, session> m_sessions; ///< Ordered, so that a seed replays exactly.
     std::uint64_t m_last = 0;
 };
 
--- a/src/http/endpoint_client.cpp
+++ b/src/http/endpoint_client.cpp
@@ -191,6 +191,11 @@
     return true;
 }
 
+bool endpoint_client::post(const confirm_home & /*home*/)
+{
+    return true;
+}
+
 void endpoint_client::stop()
 {
     d->calls.close();
--- a/src/http/endpoint_client.h
+++ b/src/http/endpoint_client.h
@@ -49,6 +49,13 @@
      */
     bool post(const stop_call &stop) override;
 
+    /**
+     * Does nothing: the tasks of these endpoints do not end with their home entry.
+     * @param home the session
+     * @return true
+     */
+    bool post(const confirm_home &home) override;
+
     /** Waits for calls in progress and ends the thread. */
     void stop() override;
 
--- a/src/job/entry_core_settings.h
+++ b/src/job/entry_core_settings.h
@@ -23,8 +23,8 @@
     std::chrono::milliseconds sendEvidenceLimit = std::chrono::milliseconds(550);
     std::chrono::milliseconds revokeRetryDelay = std::chrono::milliseconds(100); ///< First delay between two revocations of a task, and of other retries.
     /**
-     * Time after which a run at a lost agent is known to have ended. The agent notices the loss up to 650 ms later, renews the lease for
-     * another 90 ms if its stops get no answer, and the lease ends after 663 ms at a slow clock.
+     * Time after which a run at a lost agent is known to have ended. The agent keeps a run for 600 ms after the last of its calls
+     * that this entry answered, renews the lease for another 90 ms if its stops get no answer, and the lease ends after 663 ms at a slow clock.
      */
     std::chrono::milliseconds lostRunTimeout = std::chrono::milliseconds(1450);
     std::chrono::milliseconds usageReportInterval = std::chrono::seconds(1); ///< Interval between reports of the workspace quota usage to the other entries.
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -89,8 +89,10 @@
             const mono_time now = mono_clock::now();
             if (const auto *call = std::get_if<call_endpoint>(&*command)) {
                 supervisor.start(*call, now);
+            } else if (const auto *stop = std::get_if<stop_call>(&*command)) {
+                supervisor.stop(stop->id, now);
             } else {
-                supervisor.stop(std::get<stop_call>(*command).id, now);
+                supervisor.confirmHome(std::get<confirm_home>(*command));
             }
         }
     }
@@ -224,6 +226,11 @@
     return d->commands.tryPush(worker_command(stop));
 }
 
+bool worker_client::post(const confirm_home &home)
+{
+    return d->commands.tryPush(worker_command(home));
+}
+
 void worker_client::stop()
 {
     d->commands.close();
--- a/src/platform/worker_client.h
+++ b/src/platform/worker_client.h
@@ -47,6 +47,7 @@
 
     bool post(call_endpoint &&call) override;
     bool post(const stop_call &stop) override;
+    bool post(const confirm_home &home) override;
     void stop() override;
 
 private:
--- a/src/platform/worker_command.h
+++ b/src/platform/worker_command.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/action/call_endpoint.h"
+#include "agent/action/confirm_home.h"
 #include "agent/action/stop_call.h"
 
 #include <variant>
@@ -9,6 +10,6 @@
 {
 
 /** Command from the decision thread of an agent to the client of its endpoint. */
-using worker_command = std::variant<call_endpoint, stop_call>;
+using worker_command = std::variant<call_endpoint, stop_call, confirm_home>;
 
 } // namespace teaselward
--- a/src/proc/agent_process.cpp
+++ b/src/proc/agent_process.cpp
@@ -54,6 +54,8 @@
             return &agent_process_private::postToEndpoint;
         } else if constexpr (std::is_same_v<Action, stop_call>) {
             return &agent_process_private::postStopCall;
+        } else if constexpr (std::is_same_v<Action, confirm_home>) {
+            return &agent_process_private::postConfirmation;
         } else if constexpr (std::is_same_v<Action, finish_agent_drain>) {
             return &agent_process_private::notifyStopped;
         } else {
@@ -71,6 +73,11 @@
         return endpoint->post(std::get<stop_call>(action));
     }
 
+    bool postConfirmation(agent_action &action)
+    {
+        return endpoint->post(std::get<confirm_home>(action));
+    }
+
     bool postToRpc(agent_action &action)
     {
         return rpc.post(std::move(action));
--- a/src/proc/platform_agent_process.cpp
+++ b/src/proc/platform_agent_process.cpp
@@ -169,6 +169,7 @@
         clientSettings.id = announcement.id;
         clientSettings.supervisor.fencingToken = initialFencingToken();
         clientSettings.supervisor.endpointStart = announcement.endpointStart;
+        clientSettings.supervisor.homeLease = settings.lease;
         client = std::make_unique<worker_client>(
             clientSettings,
             [this, number = instance] {
--- a/src/rpc/entry_session.cpp
+++ b/src/rpc/entry_session.cpp
@@ -40,6 +40,7 @@
     request.setVersion(ProtocolVersion);
     encode(m_context.self, request.initInfo());
     request.setAgent(std::move(agent));
+    m_registrationSentAt = mono_clock::now();
     m_tasks.add(request.send()
                     .then([this](auto &&response) {
                         handleWelcome(decode(response.getWelcome()), response.getSession());
@@ -76,7 +77,8 @@
     for (const std::string &address : answer.entries) {
         m_context.directory.learn(address, mono_clock::now());
     }
-    m_context.events.push(entry_joined{answer.self});
+    m_calledAt = mono_clock::now();
+    m_context.events.push(entry_joined{answer.self, m_registrationSentAt});
     m_registered->fulfill();
     // The agent may have started to leave after the registration was sent.
     if (m_context.self.leaving) {
@@ -124,16 +126,36 @@
     return m_retiredAt && *m_calls == 0 && now - *m_retiredAt > RetireDelay;
 }
 
+// Sends a call whose answer shows that the entry had not given up the session when the call was sent. The time is taken before, so it is
+// never later than the entry's knowledge.
+template<typename Request>
+void entry_session::call(Request &&request)
+{
+    m_calledAt = mono_clock::now();
+    m_tasks.add(request.send().then([this, sentAt = m_calledAt](auto && /*response*/) {
+        confirm(sentAt);
+    }));
+}
+
+// An answer that was in transit when the session was replaced must not confirm the newer one.
+void entry_session::confirm(mono_time sentAt)
+{
+    const auto found = m_entry ? m_context.sessions.find(m_entry->id) : m_context.sessions.end();
+    if (found != m_context.sessions.end() && found->second == this) {
+        m_context.events.push(entry_confirmed{m_entry->id, sentAt});
+    }
+}
+
 void entry_session::sendCredits(std::int32_t delta)
 {
     auto request = m_remote.creditsRequest();
     request.setDelta(delta);
-    m_tasks.add(request.send().ignoreResult());
+    call(std::move(request));
 }
 
 void entry_session::sendLeaving()
 {
-    m_tasks.add(m_remote.leavingRequest().send().ignoreResult());
+    call(m_remote.leavingRequest());
 }
 
 // An entry of an older version does not know the message; its error is ignored, and the entry learns of the loss by the answers.
@@ -163,7 +185,12 @@
 
 void entry_session::sendPing()
 {
-    m_tasks.add(m_remote.pingRequest().send().ignoreResult());
+    call(m_remote.pingRequest());
+}
+
+bool entry_session::needsAnswer(mono_time now) const
+{
+    return now - m_calledAt >= m_context.settings.heartbeat;
 }
 
 void entry_session::handleLost()
--- a/src/rpc/entry_session.h
+++ b/src/rpc/entry_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "core/crash_suspect.h"
 #include "rpc/agent_rpc_context.h"
 #include "rpc/link_user.h"
@@ -86,10 +87,14 @@
     void fetchSnapshotIfNewer(std::uint64_t offset);
 
     void sendPing() override;
+    bool needsAnswer(mono_time now) const override;
     void handleLost() override;
 
 private:
     void handleWelcome(const welcome &answer, wire::AgentSession::Client remote);
+    template<typename Request>
+    void call(Request &&request);
+    void confirm(mono_time sentAt);
     void taskFailed(kj::Exception &&exception) override;
 
     agent_rpc_context &m_context;
@@ -97,6 +102,8 @@
     std::uint64_t m_link;
     std::optional<entry_info> m_entry;
     bool m_isFetching = false;
+    mono_time m_registrationSentAt{};
+    mono_time m_calledAt{}; ///< Time of the latest call whose answer confirms the session.
     std::optional<mono_time> m_retiredAt;
     std::shared_ptr<std::size_t> m_calls = std::make_shared<std::size_t>(0);
     wire::AgentSession::Client m_remote;
--- a/src/rpc/link_table.cpp
+++ b/src/rpc/link_table.cpp
@@ -111,7 +111,7 @@
         const session_state verdict = link->monitor().check(now);
         if (verdict == session_state::expired) {
             expired.push_back(number);
-        } else if (verdict == session_state::heartbeatDue && link->isRegistered() && link->user()) {
+        } else if (link->isRegistered() && link->user() && (verdict == session_state::heartbeatDue || link->user()->needsAnswer(now))) {
             link->user()->sendPing();
         }
     }
--- a/src/rpc/link_user.h
+++ b/src/rpc/link_user.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/clock.h"
+
 namespace teaselward
 {
 
@@ -12,6 +14,15 @@
     /** Sends a heartbeat; called when nothing else was sent for the heartbeat time. */
     virtual void sendPing() = 0;
 
+    /**
+     * Returns whether a heartbeat is due although other data was sent, because its answer is needed.
+     * @param now current time
+     */
+    virtual bool needsAnswer(mono_time /*now*/) const
+    {
+        return false;
+    }
+
     /** Called once when the connection is lost; afterwards the session must not use it. */
     virtual void handleLost() = 0;
 };
--- a/tests/agent/agent_core_test.cpp
+++ b/tests/agent/agent_core_test.cpp
@@ -528,6 +528,27 @@
     BOOST_TEST(agent.count<call_endpoint>() == 1U);
 }
 
+// Guards against a run that goes on or ends without regard to the time at which its home last confirmed the session.
+BOOST_AUTO_TEST_CASE(passesOnWhenTheHomeOfARunConfirmedItsSession)
+{
+    agent_fixture agent(settingsWithCpu(8000));
+    agent.handle(entry_joined{.info = {.id = Entry, .address = "10.0.0.1:1", .failureDomain = "a"}, .confirmedAt = agent.now - 5ms});
+    agent.handle(entry_confirmed{.entry = Entry, .at = agent.now - 2ms});
+    BOOST_TEST(agent.count<confirm_home>() == 0U); // The next start carries it.
+    agent.startSized(task(0), 3000);
+    const auto call = agent.get<call_endpoint>();
+    BOOST_TEST(call.homeSession != 0U);
+    BOOST_TEST((call.homeConfirmedAt == agent.now - 2ms));
+    agent.handle(entry_confirmed{.entry = Entry, .at = agent.now + 100ms});
+    BOOST_REQUIRE(agent.count<confirm_home>() == 1U);
+    BOOST_TEST(agent.get<confirm_home>().session == call.homeSession);
+    BOOST_TEST((agent.get<confirm_home>().at == agent.now + 100ms));
+    agent.handle(entry_joined{.info = {.id = Entry, .address = "10.0.0.1:1", .failureDomain = "a"}, .confirmedAt = agent.now});
+    BOOST_TEST(agent.count<stop_call>() == 1U);
+    agent.handle(entry_confirmed{.entry = Entry, .at = agent.now + 200ms});
+    BOOST_TEST(agent.count<confirm_home>() == 0U); // It confirms the new session, on which the run does not depend.
+}
+
 // Guards against starts at an endpoint that announces zero resources, and against credits that invite them.
 BOOST_AUTO_TEST_CASE(anEndpointWithZeroResourcesStartsNothing)
 {
--- a/tests/agent/run/run_supervisor_test.cpp
+++ b/tests/agent/run/run_supervisor_test.cpp
@@ -75,6 +75,20 @@
     {
         call_endpoint call;
         call.estimate = estimate;
+        start(std::move(call), index, attempt);
+    }
+
+    // Starts a run that depends on a session of its home.
+    void orderOf(std::uint64_t session, mono_time confirmedAt, std::uint32_t index = 0)
+    {
+        call_endpoint call;
+        call.homeSession = session;
+        call.homeConfirmedAt = confirmedAt;
+        start(std::move(call), index, 1);
+    }
+
+    void start(call_endpoint call, std::uint32_t index, std::uint32_t attempt)
+    {
         call.id = {.ticket = {.incarnation = 1, .sequence = 1}, .index = index, .attempt = attempt};
         call.key = "00112233aabbccdd";
         call.payload = "spec";
@@ -432,6 +446,103 @@
     BOOST_TEST((endpoint.outcome()->verdict == task_verdict::notStarted));
 }
 
+// Guards against a run that outlives the wait of its home, because the thread that receives the loss of the session is late.
+BOOST_AUTO_TEST_CASE(aRunEndsWithTheConfirmationOfItsHome)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    const mono_time confirmed = endpoint.now;
+    endpoint.now += 100ms;
+    endpoint.orderOf(1, confirmed, 0);
+    endpoint.orderOf(2, endpoint.now, 1);
+    endpoint.supervisor.startAnswered(run(0), call_result::accepted, endpoint.now);
+    endpoint.supervisor.startAnswered(run(1), call_result::accepted, endpoint.now);
+    std::chrono::milliseconds lastLease{};
+    std::uint32_t percent = 0;
+    while (endpoint.now < confirmed + 1200ms) {
+        ++percent;
+        endpoint.now += 10ms;
+        endpoint.supervisor.confirmHome({.session = 2, .at = endpoint.now});
+        endpoint.supervisor.runTimers(endpoint.now);
+        endpoint.collect();
+        for (const list_runs &call : endpoint.lists) {
+            lastLease = std::max(lastLease, call.leaseEnd.value_or(0ms));
+        }
+        BOOST_TEST(endpoint.stops.empty() == (endpoint.now < confirmed + 600ms));
+        endpoint.answerLists({{.id = run(0), .percent = percent}, {.id = run(1), .percent = percent}});
+    }
+    BOOST_REQUIRE(!endpoint.stops.empty());
+    BOOST_TEST((endpoint.stops[0].id == run(0)));
+    const auto bound = std::chrono::duration_cast<std::chrono::milliseconds>(confirmed.time_since_epoch()) + EndpointAhead + 600ms + 90ms + 650ms;
+    BOOST_TEST((lastLease > bound - 50ms));
+    BOOST_TEST((lastLease <= bound));
+}
+
+// Guards against a lease that is renewed for a run whose home is gone, because the thread of the worker did not run in time to stop it.
+BOOST_AUTO_TEST_CASE(aLateThreadRenewsNoLeaseForALostHome)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.orderOf(1, endpoint.now);
+    endpoint.supervisor.startAnswered(run(), call_result::accepted, endpoint.now);
+    endpoint.now += 350ms;
+    endpoint.supervisor.runTimers(endpoint.now);
+    endpoint.collect();
+    endpoint.answerLists({{.id = run(), .percent = 1}});
+    endpoint.collect();
+    const std::vector<list_runs> pending = std::exchange(endpoint.lists, {});
+    BOOST_REQUIRE(!pending.empty());
+    endpoint.now += 350ms; // 700 ms after the confirmation, within the lease of the worker.
+    endpoint.answerList(pending.back(), {{.id = run(), .percent = 2}}, {});
+    endpoint.collect();
+    BOOST_REQUIRE(!endpoint.lists.empty());
+    for (const list_runs &call : endpoint.lists) {
+        BOOST_TEST(!call.leaseEnd.has_value());
+    }
+    BOOST_TEST(endpoint.stops.size() == 1U);
+}
+
+// Guards against a start that waited unread until its home started the task elsewhere.
+BOOST_AUTO_TEST_CASE(aStartOfAHomeThatMayBeLostStartsNothing)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    endpoint.orderOf(1, endpoint.now - 600ms);
+    BOOST_TEST(endpoint.starts.empty());
+    const auto outcome = endpoint.outcome();
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((outcome->verdict == task_verdict::notStarted));
+}
+
+// Guards against a run that is stopped although its home confirms the session, also after a time in which the home had no run.
+BOOST_AUTO_TEST_CASE(aConfirmedHomeKeepsItsRuns)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    for (std::uint32_t index = 0; index < 2; ++index) {
+        endpoint.orderOf(1, endpoint.now - 300ms, index);
+        BOOST_REQUIRE(endpoint.starts.size() == index + 1U);
+        endpoint.supervisor.startAnswered(run(index), call_result::accepted, endpoint.now);
+        const mono_time begun = endpoint.now;
+        std::uint32_t percent = 0;
+        while (endpoint.now < begun + 2s) {
+            endpoint.now += 50ms;
+            endpoint.supervisor.confirmHome({.session = 1, .at = endpoint.now - 300ms});
+            endpoint.supervisor.runTimers(endpoint.now);
+            endpoint.collect();
+            endpoint.answerLists({{.id = run(index), .percent = ++percent}});
+        }
+        BOOST_TEST(endpoint.stops.empty());
+        endpoint.answerLists({}, {{.number = index + 1U, .id = run(index), .result = run_result::done}});
+        endpoint.collect();
+        endpoint.answerLists({}, {{.number = index + 1U, .id = run(index), .result = run_result::done}});
+        BOOST_REQUIRE(endpoint.outcome().has_value());
+        endpoint.now += 50ms;
+        endpoint.collect();
+        endpoint.answerLists();
+    }
+}
+
 // Guards against an order that waited while the agent was frozen and begins after its home has placed the task elsewhere.
 BOOST_AUTO_TEST_CASE(anOrderFromBeforeAPauseStartsNothing)
 {
--- a/tests/chain/agent_node.cpp
+++ b/tests/chain/agent_node.cpp
@@ -148,6 +148,12 @@
                 m_supervisor->stop(id, m_timeline.now());
             });
         });
+    } else if (const auto *home = std::get_if<confirm_home>(&action); home != nullptr) {
+        m_process.post(process_lane::worker, 0us, [this, instance = m_instance, home = *home] {
+            supervise(instance, [this, &home] {
+                m_supervisor->confirmHome(home);
+            });
+        });
     } else if (const auto *answer = std::get_if<answer_start>(&action); answer != nullptr) {
         m_links.answer(answer->call, task_finished{.agent = m_info.id, .id = answer->id, .outcome = answer->outcome, .credits = answer->credits});
     } else if (const auto *revoked = std::get_if<answer_revoke>(&action); revoked != nullptr) {
--- a/tests/chain/chain_session.cpp
+++ b/tests/chain/chain_session.cpp
@@ -35,9 +35,13 @@
               .lost = std::move(events.agentLost),
               .monitor = session_monitor(Lease, Heartbeat, timeline.now())}
     , m_agent{.process = agent,
-              .joined = std::move(events.entryJoined),
+              .joined =
+                  [this, joined = std::move(events.entryJoined)] {
+                      joined(m_registrationSentAt);
+                  },
               .lost = std::move(events.entryLost),
               .monitor = session_monitor(Lease, Heartbeat, timeline.now())}
+    , m_confirmed(std::move(events.entryConfirmed))
 {
 }
 
@@ -72,13 +76,15 @@
     if (isAnyCut()) {
         return;
     }
-    m_entry.process.post(process_lane::rpc, m_random.between(MinDelay, MaxDelay), [this] {
+    m_entry.process.post(process_lane::rpc, m_random.between(MinDelay, MaxDelay), [this, sentAt = m_timeline.now()] {
         if (isAnyCut()) {
             return;
         }
         close(m_entry, false);
         open(m_entry, ++m_sessions);
-        send(m_entry, m_agent, true, [this, session = m_sessions] {
+        send(m_entry, m_agent, true, [this, session = m_sessions, sentAt] {
+            m_registrationSentAt = sentAt;
+            m_calledAt = m_timeline.now();
             open(m_agent, session);
         });
     });
@@ -178,6 +184,21 @@
     one.deliver();
 }
 
+// Sends a heartbeat. That of the agent is answered, which confirms the session as of the time at which it was sent.
+void chain_session::sendHeartbeat(side &one)
+{
+    if (&one == &m_entry) {
+        send(m_entry, m_agent, false, [] {});
+        return;
+    }
+    m_calledAt = m_timeline.now();
+    send(m_agent, m_entry, false, [this, sentAt = m_calledAt] {
+        send(m_entry, m_agent, false, [this, sentAt] {
+            m_confirmed(sentAt);
+        });
+    });
+}
+
 // Checks the lease of a side and sends a heartbeat when it is due.
 void chain_session::tick(side &one, std::uint64_t session)
 {
@@ -189,8 +210,8 @@
         close(one, true);
         return;
     }
-    if (state == session_state::heartbeatDue) {
-        send(one, peerOf(one), false, [] {});
+    if (state == session_state::heartbeatDue || (&one == &m_agent && m_timeline.now() - m_calledAt >= Heartbeat)) {
+        sendHeartbeat(one);
     }
     one.process.wake(process_lane::rpc, Tick, [this, &one, session] {
         tick(one, session);
--- a/tests/chain/chain_session.h
+++ b/tests/chain/chain_session.h
@@ -97,6 +97,7 @@
     void send(side &from, side &to, bool isWelcome, std::function<void()> deliver);
     void pump(side &to);
     void receive(side &to, const detail::session_message &one);
+    void sendHeartbeat(side &one);
     void tick(side &one, std::uint64_t session);
     void sendReset(side &to, std::uint64_t session);
     void resetOnly(side &one);
@@ -108,7 +109,10 @@
     seeded_random &m_random;
     side m_entry;
     side m_agent;
+    std::function<void(mono_time sentAt)> m_confirmed;
     std::uint64_t m_sessions = 0;
+    mono_time m_registrationSentAt{}; ///< Of the latest session at the agent.
+    mono_time m_calledAt{}; ///< Time of the agent's latest call whose answer confirms the session.
 };
 
 } // namespace teaselward
--- a/tests/chain/chain_simulation.cpp
+++ b/tests/chain/chain_simulation.cpp
@@ -151,10 +151,13 @@
         logEvent(concat("Session ended at entry ", entry, " with agent ", agent));
         m_entries[entry]->handle(agent_lost{.agent = m_registered.at({entry, agent}).id});
     };
-    events.entryJoined = [this, entry, agent] {
+    events.entryJoined = [this, entry, agent](mono_time sentAt) {
         const entry_info &info = m_joined[{entry, agent}] = m_welcomes.at({entry, agent});
         logEvent(concat("Session opened at agent ", agent, " with entry ", entry));
-        m_agents[agent]->handle(entry_joined{.info = info});
+        m_agents[agent]->handle(entry_joined{.info = info, .confirmedAt = sentAt});
+    };
+    events.entryConfirmed = [this, entry, agent](mono_time sentAt) {
+        m_agents[agent]->handle(entry_confirmed{.entry = m_joined.at({entry, agent}).id, .at = sentAt});
     };
     events.entryLost = [this, entry, agent] {
         logEvent(concat("Session ended at agent ", agent, " with entry ", entry));
--- a/tests/chain/run_bound_test.cpp
+++ b/tests/chain/run_bound_test.cpp
@@ -16,6 +16,7 @@
     constexpr double slowClock = 1.02;
     const supervisor_settings supervisor;
     const auto longest = sessionLease + supervisor.stopBound + std::chrono::ceil<std::chrono::milliseconds>(slowClock * supervisor.lease);
+    BOOST_TEST((supervisor.homeLease <= sessionLease));
     BOOST_TEST((entry_core_settings{}.lostRunTimeout > longest));
 }
 
--- a/tests/chain/session_events.h
+++ b/tests/chain/session_events.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/clock.h"
+
 #include <functional>
 
 namespace teaselward
@@ -9,7 +11,8 @@
 struct session_events {
     std::function<void()> agentJoined; ///< At the entry.
     std::function<void()> agentLost; ///< At the entry.
-    std::function<void()> entryJoined; ///< At the agent.
+    std::function<void(mono_time sentAt)> entryJoined; ///< At the agent, with the time at which it sent its registration.
+    std::function<void(mono_time sentAt)> entryConfirmed; ///< At the agent, with the time at which it sent the call that the entry answered.
     std::function<void()> entryLost; ///< At the agent.
 };
 
--- a/tests/rpc/session_loss_test.cpp
+++ b/tests/rpc/session_loss_test.cpp
@@ -103,6 +103,35 @@
     BOOST_TEST(agent.events.count<entry_lost>() == 1U);
 }
 
+// Guards against a confirmation that is dated when the answer of the entry is read. Bytes of the entry can wait unread for any time, and
+// they do not show that it still keeps the session.
+BOOST_AUTO_TEST_CASE(datesTheConfirmationOfASessionBeforeTheCall)
+{
+    test_entry entry(11);
+    tcp_relay relay(entry.rpc.address());
+    agent_rpc_settings settings = test_agent::makeSettings(22, {relay.address()});
+    settings.lease = 10s;
+    settings.heartbeat = 100ms;
+    const mono_time created = mono_clock::now();
+    test_agent agent(settings);
+    const auto joined = agent.events.waitFor<entry_joined>();
+    BOOST_REQUIRE(joined.has_value());
+    BOOST_TEST((joined->confirmedAt >= created));
+    BOOST_TEST((joined->confirmedAt <= mono_clock::now()));
+    BOOST_REQUIRE(agent.events.waitFor<entry_confirmed>().has_value());
+    relay.freeze();
+    agent.events.collect(500ms);
+    const std::size_t before = agent.events.count<entry_confirmed>();
+    const mono_time frozen = mono_clock::now();
+    agent.events.collect(600ms);
+    BOOST_TEST(agent.events.count<entry_confirmed>() == before);
+    relay.resume();
+    const auto late = agent.events.waitFor<entry_confirmed>();
+    BOOST_REQUIRE(late.has_value());
+    BOOST_TEST((late->at < frozen));
+    BOOST_TEST((late->entry == entry_id{11}));
+}
+
 // Guards against an idle session that is closed although both sides are alive.
 BOOST_AUTO_TEST_CASE(keepsAnIdleSession)
 {
--- a/tests/scenario/simulated_cluster.h
+++ b/tests/scenario/simulated_cluster.h
@@ -103,6 +103,7 @@
     void onAnswerFence(std::size_t agent, agent_action &action);
     void onCallEndpoint(std::size_t agent, agent_action &action);
     void onStopCall(std::size_t agent, agent_action &action);
+    void onConfirmHome(std::size_t agent, agent_action &action);
     void onEndSessions(std::size_t agent, agent_action &action);
     void onGrantCredits(std::size_t agent, agent_action &action);
     void onAnnounceLeaving(std::size_t agent, agent_action &action);
--- a/tests/scenario/simulated_cluster_agent_actions.cpp
+++ b/tests/scenario/simulated_cluster_agent_actions.cpp
@@ -29,13 +29,14 @@
     &simulated_cluster::onAnswerFence,
     &simulated_cluster::onCallEndpoint,
     &simulated_cluster::onStopCall,
+    &simulated_cluster::onConfirmHome,
     &simulated_cluster::onEndSessions,
     &simulated_cluster::onGrantCredits,
     &simulated_cluster::onAnnounceLeaving,
     &simulated_cluster::onReportCrash,
     &simulated_cluster::onFinishAgentDrain,
 };
-static_assert(std::variant_size_v<agent_action> == 10);
+static_assert(std::variant_size_v<agent_action> == 11);
 
 void simulated_cluster::onAnswerStart(std::size_t agent, agent_action &action)
 {
@@ -119,6 +120,11 @@
     scheduleCallEnd(agent, m_agents[agent]->epoch(), stop.id, task_outcome{task_verdict::interrupted, reason::cancelled, "stopped", {}}, m_queue.now());
 }
 
+// The fake endpoints run tasks whose home is not needed.
+void simulated_cluster::onConfirmHome(std::size_t /*agent*/, agent_action & /*action*/)
+{
+}
+
 void simulated_cluster::onEndSessions(std::size_t agent, agent_action & /*action*/)
 {
     for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
