Free the tasks of an agent only for a later incarnation

An entry starts the tasks of an agent again at once when another incarnation registers at the same address, because a new agent registers only after it has ended all runs of the former one. Registrations are sent over different connections, so that of the former incarnation can arrive after that of the new one. The entry then freed the tasks of the new one, whose runs went on: two runs of each task.

An agent now registers with the start of the endpoint instance and the fencing token that the instance has accepted. Tokens only rise at one instance, so they order the incarnations whatever the order of arrival. An earlier incarnation frees nothing; its own tasks wait for the loss of its session. Agents of an older version register without a token, and the order of arrival decides as before.

--- a/src/agent/run/run_supervisor.cpp
+++ b/src/agent/run/run_supervisor.cpp
@@ -247,6 +247,11 @@
     return d->ready && !d->lost;
 }
 
+std::uint64_t run_supervisor::fencingToken() const
+{
+    return d->token;
+}
+
 bool run_supervisor::isLost() const
 {
     return d->lost;
--- a/src/agent/run/run_supervisor.h
+++ b/src/agent/run/run_supervisor.h
@@ -12,6 +12,7 @@
 #include "core/task_id.h"
 #include "log/logger.h"
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -104,6 +105,9 @@
     /** @return whether all orphaned runs have ended and the endpoint accepts starts */
     bool isReady() const;
 
+    /** @return token of the calls; the endpoint has accepted it once isReady() was true */
+    std::uint64_t fencingToken() const;
+
     /** @return whether this instance of the endpoint has ended, or is unreachable and the leases of its runs have expired */
     bool isLost() const;
 
--- a/src/core/agent_info.h
+++ b/src/core/agent_info.h
@@ -2,6 +2,7 @@
 
 #include "core/agent_id.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
     std::uint32_t connections = 0; ///< Maximum number of connections that the endpoint accepts.
     std::vector<std::string> kinds; ///< Kinds that the endpoint offers.
     bool leaving = false; ///< The agent accepts no new tasks.
+    std::chrono::milliseconds endpointStart{}; ///< Start of the endpoint instance since 1970; zero if it is not announced.
+    std::uint64_t fencingToken = 0; ///< Token that the endpoint instance accepted from this incarnation; zero if it has none.
 };
 
 } // namespace teaselward
--- a/src/job/agent_directory.cpp
+++ b/src/job/agent_directory.cpp
@@ -1,20 +1,37 @@
 #include "job/agent_directory.h"
 
+#include <tuple>
+#include <utility>
+
 namespace teaselward
 {
 
+namespace
+{
+
+// Returns whether an incarnation has taken the place of another. An endpoint instance accepts only rising tokens, so the token tells the
+// order of the incarnations that served it; messages on different connections can arrive in another order. Without tokens the order of
+// arrival must do.
+bool isSuccessor(const agent_info &info, const agent_info &known)
+{
+    if (info.fencingToken == 0 || known.fencingToken == 0) {
+        return true;
+    }
+    return std::tie(info.endpointStart, info.fencingToken) > std::tie(known.endpointStart, known.fencingToken);
+}
+
+} // namespace
+
 std::optional<agent_id> agent_directory::join(const agent_info &info)
 {
     if (!info.leaving && m_positions.try_emplace(info.id, m_connected.size()).second) {
         m_connected.push_back(info.id);
     }
-    const auto [found, isNew] = m_byAddress.try_emplace(info.address, info.id);
-    if (isNew || found->second == info.id) {
+    const auto [found, isNew] = m_byAddress.try_emplace(info.address, info);
+    if (isNew || found->second.id == info.id || !isSuccessor(info, found->second)) {
         return std::nullopt;
     }
-    const agent_id former = found->second;
-    found->second = info.id;
-    return former;
+    return std::exchange(found->second, info).id;
 }
 
 // Swaps with the last agent and pops, so that removal takes constant time.
--- a/src/job/agent_directory.h
+++ b/src/job/agent_directory.h
@@ -13,14 +13,15 @@
 namespace teaselward
 {
 
-/** Connected agents, and the incarnation last seen at each address. */
+/** Connected agents, and the latest incarnation at each address. */
 class agent_directory
 {
 public:
     /**
      * Records a registration.
      * @param info description that the agent registered with
-     * @return the previous incarnation if a different one was last seen at the same address
+     * @return the previous incarnation at the same address if the new one is known to have taken its place. It is not known if the
+     * registration of an earlier incarnation may have arrived late.
      */
     std::optional<agent_id> join(const agent_info &info);
 
@@ -37,7 +38,7 @@
     std::optional<agent_id> nextConnected();
 
 private:
-    absl::flat_hash_map<std::string, agent_id> m_byAddress;
+    absl::flat_hash_map<std::string, agent_info> m_byAddress;
     absl::flat_hash_map<agent_id, std::size_t> m_positions; ///< Position of each agent in m_connected.
     std::vector<agent_id> m_connected;
     std::size_t m_next = 0;
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -33,8 +33,11 @@
 class worker_client_private
 {
 public:
-    worker_client_private(
-        const worker_client_settings &clientSettings, std::function<void()> ready, std::function<void()> lost, run_metrics &runMetrics, logger &log)
+    worker_client_private(const worker_client_settings &clientSettings,
+                          std::function<void(std::uint64_t token)> ready,
+                          std::function<void()> lost,
+                          run_metrics &runMetrics,
+                          logger &log)
         : settings(clientSettings)
         , onReady(std::move(ready))
         , onLost(std::move(lost))
@@ -170,7 +173,7 @@
         }
         if (!isReadyReported && supervisor.isReady()) {
             isReadyReported = true;
-            onReady();
+            onReady(supervisor.fencingToken());
         }
         if (!isLostReported && supervisor.isLost()) {
             isLostReported = true;
@@ -179,7 +182,7 @@
     }
 
     const worker_client_settings settings;
-    std::function<void()> onReady;
+    std::function<void(std::uint64_t token)> onReady;
     std::function<void()> onLost;
     run_metrics &metrics;
     bounded_ring<worker_command> commands;
@@ -196,7 +199,7 @@
 } // namespace detail
 
 worker_client::worker_client(
-    const worker_client_settings &settings, std::function<void()> onReady, std::function<void()> onLost, run_metrics &metrics, logger &log)
+    const worker_client_settings &settings, std::function<void(std::uint64_t token)> onReady, std::function<void()> onLost, run_metrics &metrics, logger &log)
     : d(std::make_unique<detail::worker_client_private>(settings, std::move(onReady), std::move(onLost), metrics, log))
 {
 }
--- a/src/platform/worker_client.h
+++ b/src/platform/worker_client.h
@@ -7,6 +7,7 @@
 #include "metrics/run_metrics.h"
 #include "platform/worker_client_settings.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -28,12 +29,16 @@
     /**
      * Starts the thread, which first stops the runs at the worker that others have started.
      * @param settings address and limits
-     * @param onReady called once on the client's thread, when the worker accepts starts
+     * @param onReady called once on the client's thread with the accepted fencing token, when the worker accepts starts
      * @param onLost called once on the client's thread, when the worker instance has ended
      * @param metrics counts finished runs and unanswered calls; it must outlive the client
      * @param log logger; it must outlive the client
      */
-    worker_client(const worker_client_settings &settings, std::function<void()> onReady, std::function<void()> onLost, run_metrics &metrics, logger &log);
+    worker_client(const worker_client_settings &settings,
+                  std::function<void(std::uint64_t token)> onReady,
+                  std::function<void()> onLost,
+                  run_metrics &metrics,
+                  logger &log);
     ~worker_client() override;
 
     worker_client(const worker_client &) = delete;
--- a/src/proc/platform_agent_process.cpp
+++ b/src/proc/platform_agent_process.cpp
@@ -172,8 +172,8 @@
         clientSettings.supervisor.homeLease = settings.lease;
         client = std::make_unique<worker_client>(
             clientSettings,
-            [this, number = instance] {
-                events.push(endpoint_ready{number});
+            [this, number = instance](std::uint64_t token) {
+                events.push(endpoint_ready{number, token});
             },
             [this, number = instance] {
                 events.push(endpoint_lost{number});
@@ -197,6 +197,8 @@
         core.self.slots = std::max(1U, current.slots);
         core.self.connections = settings.connections;
         core.self.kinds = {current.service};
+        core.self.endpointStart = current.endpointStart;
+        core.self.fencingToken = std::get<endpoint_ready>(event).fencingToken;
         core.retention = Retention;
         core.capacity = current.capacity;
         core.sessionLease = settings.lease;
--- a/src/rpc/info_codec.cpp
+++ b/src/rpc/info_codec.cpp
@@ -15,6 +15,8 @@
     out.setConnections(value.connections);
     encodeTexts(value.kinds, out.initKinds(static_cast<unsigned>(value.kinds.size())));
     out.setLeaving(value.leaving);
+    out.setEndpointStartMs(value.endpointStart.count());
+    out.setFencingToken(value.fencingToken);
 }
 
 agent_info decode(wire::AgentInfo::Reader in)
@@ -27,6 +29,8 @@
     value.connections = in.getConnections();
     value.kinds = decodeTexts(in.getKinds());
     value.leaving = in.getLeaving();
+    value.endpointStart = std::chrono::milliseconds(in.getEndpointStartMs());
+    value.fencingToken = in.getFencingToken();
     return value;
 }
 
--- a/src/rpc/wire.capnp
+++ b/src/rpc/wire.capnp
@@ -69,6 +69,8 @@
   connections @4 :UInt32;
   kinds @5 :List(Text);
   leaving @6 :Bool;
+  endpointStartMs @7 :Int64; # Since 1970.
+  fencingToken @8 :UInt64;
 }
 
 struct EntryInfo {
--- a/src/rpc/wire.capnp.h
+++ b/src/rpc/wire.capnp.h
@@ -198,7 +198,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f376900aa6f8ea5, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9f376900aa6f8ea5, 5, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1791,6 +1791,10 @@
 
   inline bool getLeaving() const;
 
+  inline  ::int64_t getEndpointStartMs() const;
+
+  inline  ::uint64_t getFencingToken() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1853,6 +1857,12 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline  ::int64_t getEndpointStartMs();
+  inline void setEndpointStartMs( ::int64_t value);
+
+  inline  ::uint64_t getFencingToken();
+  inline void setFencingToken( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7015,6 +7025,34 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t AgentInfo::Reader::getEndpointStartMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t AgentInfo::Builder::getEndpointStartMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AgentInfo::Builder::setEndpointStartMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AgentInfo::Reader::getFencingToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentInfo::Builder::getFencingToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void AgentInfo::Builder::setFencingToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t EntryInfo::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/chain/agent_node.cpp
+++ b/tests/chain/agent_node.cpp
@@ -65,6 +65,8 @@
 void agent_node::serve()
 {
     m_info.id = {FirstAgentId + m_instance};
+    m_info.endpointStart = m_worker.born();
+    m_info.fencingToken = m_supervisor->fencingToken();
     agent_core_settings settings;
     settings.self = m_info;
     settings.capacity = {.cpuMillis = 32000, .memoryMb = 131072, .gpus = 0};
--- a/tests/rpc/codec_test.cpp
+++ b/tests/rpc/codec_test.cpp
@@ -80,7 +80,7 @@
 // Guards against an announcement that loses a field.
 BOOST_AUTO_TEST_CASE(keepsAnAnnouncement)
 {
-    const agent_info info{agent_id{1}, "127.0.0.1:1", "zone-b", 8, 64, {"a", "b"}, true};
+    const agent_info info{agent_id{1}, "127.0.0.1:1", "zone-b", 8, 64, {"a", "b"}, true, std::chrono::milliseconds(77), 88};
     capnp::MallocMessageBuilder message;
     auto wire = message.initRoot<wire::AgentInfo>();
     encode(info, wire);
@@ -92,6 +92,8 @@
     BOOST_TEST(read.connections == info.connections);
     BOOST_TEST((read.kinds == info.kinds));
     BOOST_TEST(read.leaving);
+    BOOST_TEST((read.endpointStart == info.endpointStart));
+    BOOST_TEST(read.fencingToken == info.fencingToken);
 }
 
 // Guards against a crash that is lost on its way, or is read from an outcome of a build that does not report crashes.
