Let simulated workers crash and return under the same id

A worker that crashes ends its runs, refuses connections for 0.3 to 1.4 s and returns without token, lease, attempts and ends, with a clock that begins anew. Calls that are carried out late reach whatever life listens then. An agent that has lost its worker waits for a heartbeat of the next life.

--- a/tests/chain/agent_node.cpp
+++ b/tests/chain/agent_node.cpp
@@ -92,8 +92,17 @@
     m_core.reset();
     m_supervisor.reset();
     m_info.id = {};
+    awaitHeartbeat();
+}
+
+void agent_node::awaitHeartbeat()
+{
     m_process.wake(process_lane::decision, m_random.between(0us, MaxHeartbeat), [this] {
-        adopt();
+        if (m_worker.isAlive()) {
+            adopt();
+        } else {
+            awaitHeartbeat();
+        }
     });
 }
 
@@ -244,9 +253,7 @@
 void agent_node::restart()
 {
     m_process.restart();
-    m_process.wake(process_lane::decision, m_random.between(0us, MaxHeartbeat), [this] {
-        adopt();
-    });
+    awaitHeartbeat();
 }
 
 simulated_process &agent_node::process()
--- a/tests/chain/agent_node.h
+++ b/tests/chain/agent_node.h
@@ -67,6 +67,7 @@
     void adopt();
     void serve();
     void endInstance();
+    void awaitHeartbeat();
     void dialRepeatedly(std::uint64_t instance);
     void decide(const agent_event &event);
     void armDecisionTimer();
--- a/tests/chain/chain_simulation.h
+++ b/tests/chain/chain_simulation.h
@@ -133,6 +133,7 @@
     void delayAgain(simulated_process &process, process_lane lane, std::size_t times);
     void slowProcess();
     void pauseShortly();
+    void crashWorker();
     void cutOneWay();
     void resetOneSide();
     std::size_t anyNode();
--- a/tests/chain/chain_simulation_thread_faults.cpp
+++ b/tests/chain/chain_simulation_thread_faults.cpp
@@ -5,7 +5,7 @@
 #include <chrono>
 #include <string>
 
-// Faults of threads and processes that go on running, at rates of their own.
+// Faults of threads, processes and workers, at rates of their own.
 
 namespace teaselward
 {
@@ -28,6 +28,9 @@
 constexpr std::chrono::microseconds MinShortPause = 300ms;
 constexpr std::chrono::microseconds MaxShortPause = 600ms;
 
+constexpr std::chrono::microseconds MinWorkerOutage = 300ms;
+constexpr std::chrono::microseconds MaxWorkerOutage = 1400ms;
+
 // Threads that can be late; an entry has no thread of a worker.
 constexpr std::array Lanes = {process_lane::rpc, process_lane::decision, process_lane::worker};
 constexpr std::array<std::string_view, Lanes.size()> LaneNames = {"rpc", "decision", "worker"};
@@ -43,12 +46,13 @@
 void chain_simulation::injectTimedFaults()
 {
     using simulation = chain_simulation;
-    static constexpr std::array<timed_fault, 5> faults = {{
+    static constexpr std::array<timed_fault, 6> faults = {{
         {&chain_faults::lateThreads, &simulation::delayThread},
         {&chain_faults::slowProcesses, &simulation::slowProcess},
         {&chain_faults::oneWayCuts, &simulation::cutOneWay},
         {&chain_faults::oneSidedResets, &simulation::resetOneSide},
         {&chain_faults::shortPauses, &simulation::pauseShortly},
+        {&chain_faults::workerCrashes, &simulation::crashWorker},
     }};
     for (const timed_fault &one : faults) {
         injectRepeatedly(one);
@@ -110,6 +114,22 @@
     processOf(node).freeze(length);
 }
 
+void chain_simulation::crashWorker()
+{
+    const std::size_t position = m_random.below(m_site.agents);
+    simulated_worker &worker = *m_workers[position];
+    if (!worker.isAlive()) {
+        return;
+    }
+    const auto length = m_random.between(MinWorkerOutage, MaxWorkerOutage);
+    logEvent(concat("Crash of worker ", position, " for ", millisOf(length), " ms"));
+    worker.crash();
+    m_timeline.after(length, [this, position] {
+        logEvent(concat("Worker ", position, " has returned"));
+        m_workers[position]->restart();
+    });
+}
+
 // Entries come first in the numbers of nodes.
 std::size_t chain_simulation::anyNode()
 {
--- a/tests/chain/simulated_worker.cpp
+++ b/tests/chain/simulated_worker.cpp
@@ -28,6 +28,32 @@
 {
 }
 
+void simulated_worker::crash()
+{
+    m_isAlive = false;
+    for (const auto &[key, run] : std::exchange(m_live, {})) {
+        m_log.ended(m_position, {.job = key.first, .index = key.second, .attempt = run.attempt});
+    }
+    m_closed.clear();
+    m_ends.clear();
+    m_lastEnd = 0;
+    m_waiting.clear();
+    m_token = 0;
+    m_leaseEnd = {};
+}
+
+void simulated_worker::restart()
+{
+    ++m_life;
+    m_isAlive = true;
+    m_bornAt = m_timeline.now();
+}
+
+bool simulated_worker::isAlive() const
+{
+    return m_isAlive;
+}
+
 std::chrono::milliseconds simulated_worker::clock() const
 {
     return std::chrono::floor<std::chrono::milliseconds>((m_timeline.now() - m_bornAt) * m_rate);
@@ -98,8 +124,10 @@
     const auto length = std::chrono::microseconds(std::stoll(call.spec));
     m_live[key] = {.attempt = call.id.attempt, .since = m_timeline.now(), .length = length};
     m_log.began(m_position, call.id, m_timeline.now());
-    m_timeline.after(length, [this, id = call.id] {
-        end(id, run_result::done);
+    m_timeline.after(length, [this, id = call.id, life = m_life] {
+        if (life == m_life) {
+            end(id, run_result::done);
+        }
     });
     return call_result::accepted;
 }
@@ -111,8 +139,10 @@
     }
     std::uint32_t &closed = m_closed[{call.id.job, call.id.index}];
     closed = std::max(closed, call.id.attempt);
-    m_timeline.after(m_random.between(0us, MaxStopTime), [this, id = call.id] {
-        end(id, run_result::stopped);
+    m_timeline.after(m_random.between(0us, MaxStopTime), [this, id = call.id, life = m_life] {
+        if (life == m_life) {
+            end(id, run_result::stopped);
+        }
     });
     return call_result::accepted;
 }
--- a/tests/chain/simulated_worker.h
+++ b/tests/chain/simulated_worker.h
@@ -27,7 +27,7 @@
 
 /**
  * Worker of the platform in virtual time, with the lease of its runs, the fencing token, the attempts of tasks and the list of
- * ends. The payload of a task is the time that it runs, in microseconds. The clock of the worker is up to 2 % slow.
+ * ends. It can crash and return under its address. The payload of a task is the time that it runs, in microseconds. The clock of the worker is up to 2 % slow.
  */
 class simulated_worker
 {
@@ -62,6 +62,15 @@
      */
     void list(const list_runs &call, const std::function<void(list_runs_result)> &answer);
 
+    /** Ends the worker with all runs; it forgets the token, the lease, the attempts and the ends. */
+    void crash();
+
+    /** Starts the worker again with a clock that begins anew. */
+    void restart();
+
+    /** @return whether the worker accepts connections */
+    bool isAlive() const;
+
     /** @return start of the worker since 1970 */
     std::chrono::milliseconds born() const;
 
@@ -104,6 +113,8 @@
     std::map<std::uint64_t, waiting_list> m_waiting;
     std::uint64_t m_lastWaiting = 0;
     std::size_t m_lapsed = 0;
+    std::uint64_t m_life = 1; ///< Counts the starts of the worker.
+    bool m_isAlive = true;
 };
 
 } // namespace teaselward
--- a/tests/chain/worker_transport.cpp
+++ b/tests/chain/worker_transport.cpp
@@ -67,7 +67,9 @@
 
 void worker_transport::execute(const run_call &call, const answer_function &answer)
 {
-    if (const auto *start = std::get_if<start_run>(&call)) {
+    if (!m_worker.isAlive()) {
+        answer(call_result::unreachable, {});
+    } else if (const auto *start = std::get_if<start_run>(&call)) {
         answer(m_worker.start(*start), {});
     } else if (const auto *stop = std::get_if<stop_run>(&call)) {
         answer(m_worker.stop(*stop), {});
