--- a/tests/chain/steady_callers_test.cpp
+++ b/tests/chain/steady_callers_test.cpp
@@ -38,4 +38,11 @@
     playWithSteadyCallers({.lateOrders = 0.5, .lostAnswers = 0.05, .lateLists = 0.05, .oneWayCuts = 1, .oneSidedResets = 1}, Seeds);
 }
 
+// Guards against a home that starts a task again while its run goes on, if its worker crashes and returns but no order is late.
+BOOST_AUTO_TEST_CASE(crashedWorkersLeaveNoRunBehind)
+{
+    playWithSteadyCallers({.workerCrashes = 1}, Seeds);
+    playWithSteadyCallers({.lostAnswers = 0.25, .workerCrashes = 1}, Seeds);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
