--- a/src/agent/run/run_supervisor.h
+++ b/src/agent/run/run_supervisor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/action/call_endpoint.h"
+#include "agent/action/confirm_home.h"
 #include "agent/event/call_finished.h"
 #include "agent/run/call_result.h"
 #include "agent/run/list_runs_result.h"
@@ -11,6 +12,7 @@
 #include "core/task_id.h"
 #include "log/logger.h"
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -56,6 +58,12 @@
      */
     void stop(const task_id &task, mono_time now);
 
+    /**
+     * Extends the time during which the runs of a home entry may go on.
+     * @param home the session and the time at which it was confirmed
+     */
+    void confirmHome(const confirm_home &home);
+
     /**
      * Handles the answer to a start.
      * @param id the run
@@ -97,6 +105,9 @@
     /** @return whether all orphaned runs have ended and the endpoint accepts starts */
     bool isReady() const;
 
+    /** @return token of the calls; the endpoint has accepted it once isReady() was true */
+    std::uint64_t fencingToken() const;
+
     /** @return whether this instance of the endpoint has ended, or is unreachable and the leases of its runs have expired */
     bool isLost() const;
 
--- a/tests/chain/agent_node.cpp
+++ b/tests/chain/agent_node.cpp
@@ -65,6 +65,8 @@
 void agent_node::serve()
 {
     m_info.id = {FirstAgentId + m_instance};
+    m_info.endpointStart = m_worker.born();
+    m_info.fencingToken = m_supervisor->fencingToken();
     agent_core_settings settings;
     settings.self = m_info;
     settings.capacity = {.cpuMillis = 32000, .memoryMb = 131072, .gpus = 0};
@@ -92,8 +94,17 @@
     m_core.reset();
     m_supervisor.reset();
     m_info.id = {};
+    awaitHeartbeat();
+}
+
+void agent_node::awaitHeartbeat()
+{
     m_process.wake(process_lane::decision, m_random.between(0us, MaxHeartbeat), [this] {
-        adopt();
+        if (m_worker.isAlive()) {
+            adopt();
+        } else {
+            awaitHeartbeat();
+        }
     });
 }
 
@@ -148,6 +159,12 @@
                 m_supervisor->stop(id, m_timeline.now());
             });
         });
+    } else if (const auto *home = std::get_if<confirm_home>(&action); home != nullptr) {
+        m_process.post(process_lane::worker, 0us, [this, instance = m_instance, home = *home] {
+            supervise(instance, [this, &home] {
+                m_supervisor->confirmHome(home);
+            });
+        });
     } else if (const auto *answer = std::get_if<answer_start>(&action); answer != nullptr) {
         m_links.answer(answer->call, task_finished{.agent = m_info.id, .id = answer->id, .outcome = answer->outcome, .credits = answer->credits});
     } else if (const auto *revoked = std::get_if<answer_revoke>(&action); revoked != nullptr) {
@@ -244,9 +261,7 @@
 void agent_node::restart()
 {
     m_process.restart();
-    m_process.wake(process_lane::decision, m_random.between(0us, MaxHeartbeat), [this] {
-        adopt();
-    });
+    awaitHeartbeat();
 }
 
 simulated_process &agent_node::process()
