Let no registration without a token free the tasks of one with a token

While a site is updated, the late registration of an agent of the older build still freed the tasks of its successor at once, beside their runs. After a step back to an older build the tasks of the newer agent wait for the loss of its session.

--- a/src/job/agent_directory.cpp
+++ b/src/job/agent_directory.cpp
@@ -10,11 +10,11 @@
 {
 
 // Returns whether an incarnation has taken the place of another. An endpoint instance accepts only rising tokens, so the token tells the
-// order of the incarnations that served it; messages on different connections can arrive in another order. Without tokens the order of
-// arrival must do.
+// order of the incarnations that served it; messages on different connections can arrive in another order. Between incarnations without a
+// token the order of arrival must do; one without a token does not follow one that has one, since it may be of an older build and late.
 bool isSuccessor(const agent_info &info, const agent_info &known)
 {
-    if (info.fencingToken == 0 || known.fencingToken == 0) {
+    if (known.fencingToken == 0) {
         return true;
     }
     return std::tie(info.endpointStart, info.fencingToken) > std::tie(known.endpointStart, known.fencingToken);
--- a/tests/job/late_registration_test.cpp
+++ b/tests/job/late_registration_test.cpp
@@ -39,6 +39,8 @@
     BOOST_TEST(count<start_task>() == 0U);
     join(4, 30, Born - 5s); // Of a former life of the worker.
     BOOST_TEST(count<start_task>() == 0U);
+    join(5, 0, 0ms); // Of an older build.
+    BOOST_TEST(count<start_task>() == 0U);
 }
 
 // Guards against a task that waits although the next incarnation of its agent has shown that no run is left.
