Hold the lease back until a run whose stop was requested is over

The renewal now waits for the list without the run; the case aLateStopDoesNotRenewTheLeaseOfAListedRun failed before.

--- a/src/agent/run/run_supervisor_private.cpp
+++ b/src/agent/run/run_supervisor_private.cpp
@@ -51,13 +51,13 @@
     return clockOffset.value_or(-own) + own + settings.lease;
 }
 
-// A run whose stop is not confirmed in time must end with its lease, so nothing may extend the lease until then: a caller may
-// already have submitted the job again. The same holds for an orphaned run, whose home was lost before.
+// A run whose end is not certain in time must end with its lease, so nothing may extend the lease until then: a caller may already have
+// submitted the job again. That includes a run whose stop was accepted, because it ends only some time later. The same holds for an
+// orphaned run, whose home was lost before.
 bool run_supervisor_private::isLeaseHeldBack(mono_time now) const
 {
     const auto isOverdue = [this, now](const auto &item) {
-        const supervised_run &run = item.second;
-        return run.state != run_state::stopped && now - endRequested(run) >= settings.stopBound;
+        return now - endRequested(item.second) >= settings.stopBound;
     };
     return !orphans.empty() || std::ranges::any_of(runs, isOverdue);
 }
--- a/src/agent/run/supervisor_settings.h
+++ b/src/agent/run/supervisor_settings.h
@@ -30,7 +30,7 @@
      */
     std::chrono::milliseconds stopRepeat{40};
     /**
-     * While a stop is not confirmed this long after it was requested, no lease is renewed or extended, so that the run ends with
+     * While a run is not over this long after its stop was requested, no lease is renewed or extended, so that the run ends with
      * its lease at the latest. All runs at the endpoint share the lease; two repetitions fit into this time.
      */
     std::chrono::milliseconds stopBound{90};
--- a/tests/agent/run/run_supervisor_test.cpp
+++ b/tests/agent/run/run_supervisor_test.cpp
@@ -502,6 +502,39 @@
     BOOST_TEST(endpoint.stops.size() == 1U);
 }
 
+// Guards against a lease that is renewed between the answer to a stop and the end of the run.
+BOOST_AUTO_TEST_CASE(aLateStopDoesNotRenewTheLeaseOfAListedRun)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    const mono_time confirmed = endpoint.now;
+    endpoint.orderOf(1, confirmed);
+    endpoint.supervisor.startAnswered(run(), call_result::accepted, endpoint.now);
+    std::uint32_t percent = 0;
+    std::chrono::milliseconds lastLease{};
+    while (endpoint.now < confirmed + 1340ms) {
+        endpoint.now += 10ms;
+        endpoint.supervisor.runTimers(endpoint.now);
+        endpoint.collect();
+        for (const list_runs &call : endpoint.lists) {
+            lastLease = std::max(lastLease, call.leaseEnd.value_or(0ms));
+        }
+        endpoint.answerLists({{.id = run(), .percent = ++percent}});
+    }
+    endpoint.supervisor.stopAnswered(run(), call_result::accepted, endpoint.now);
+    while (endpoint.now < confirmed + 1600ms) {
+        endpoint.now += 10ms;
+        endpoint.supervisor.runTimers(endpoint.now);
+        endpoint.collect();
+        for (const list_runs &call : endpoint.lists) {
+            lastLease = std::max(lastLease, call.leaseEnd.value_or(0ms));
+        }
+        endpoint.answerLists({{.id = run(), .percent = percent}}); // Still listed: the stop takes its time.
+    }
+    const auto end = lastLease - EndpointAhead - std::chrono::duration_cast<std::chrono::milliseconds>(confirmed.time_since_epoch());
+    BOOST_TEST(end.count() <= 600 + 90 + 650);
+}
+
 // Guards against a start that waited unread until its home started the task elsewhere.
 BOOST_AUTO_TEST_CASE(aStartOfAHomeThatMayBeLostStartsNothing)
 {
