Count the drift of the endpoint's clock since its offset was measured

Only lists measure the offset, but answers to starts and stops permit a renewal too. While lists stay unanswered, a clock that is 2 % slow falls behind, so a lease ended later than the 663 ms that the home counts on: 850 ms after 10 s without a list.

--- a/src/agent/run/run_supervisor.cpp
+++ b/src/agent/run/run_supervisor.cpp
@@ -177,6 +177,7 @@
     }
     d->lastContact = now;
     if (lists.endpointTime) {
+        d->clockOffsetAt = now;
         d->clockOffset = *lists.endpointTime - std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
     }
     if (lists.number > d->newestAnswer) {
--- a/src/agent/run/run_supervisor_private.cpp
+++ b/src/agent/run/run_supervisor_private.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+// The clock of an endpoint loses at most one part in this many.
+constexpr int SlowClockDivisor = 50;
+
 // The step by which a refused fencing token is raised grows by this factor; a token one day ahead is passed in 14 steps.
 constexpr std::uint64_t TokenGrowth = 4;
 
@@ -43,12 +46,13 @@
 {
 }
 
-// The clock offset is taken when an answer of the endpoint arrives, so the estimated time is never ahead of the endpoint's
-// clock.
+// The clock offset is taken when an answer of the endpoint arrives, and the clock of the endpoint may have been slow since then, so the
+// estimated time is never ahead of it.
 std::chrono::milliseconds run_supervisor_private::leaseEnd(mono_time now) const
 {
     const auto own = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
-    return clockOffset.value_or(-own) + own + settings.lease;
+    const auto drift = std::chrono::ceil<std::chrono::milliseconds>((now - clockOffsetAt) / SlowClockDivisor);
+    return clockOffset.value_or(-own) + own - (clockOffset ? drift : std::chrono::milliseconds::zero()) + settings.lease;
 }
 
 // A run whose end is not certain in time must end with its lease, so nothing may extend the lease until then: a caller may already have
--- a/src/agent/run/run_supervisor_private.h
+++ b/src/agent/run/run_supervisor_private.h
@@ -62,6 +62,7 @@
     std::uint64_t newestEnded = 0; ///< Number of the newest list call that was answered or has failed.
     std::uint64_t acknowledged = 0;
     std::optional<std::chrono::milliseconds> clockOffset; ///< Endpoint clock minus agent clock; never overestimated.
+    mono_time clockOffsetAt{}; ///< Time at which clockOffset was measured.
     mono_time lastContact{}; ///< Time of the last answer of the endpoint.
     mono_time latestLeaseEnd{}; ///< No lease sent so far ends later, on the agent's clock.
     std::chrono::milliseconds latestLeaseSent{}; ///< The same on the endpoint's clock.
--- a/tests/agent/run/run_supervisor_test.cpp
+++ b/tests/agent/run/run_supervisor_test.cpp
@@ -160,6 +160,40 @@
     BOOST_TEST(endpoint.starts[0].fencingToken == 10U);
 }
 
+// Guards against a lease that grows with the age of the clock's offset at a slow worker, whose lists get no answer.
+BOOST_AUTO_TEST_CASE(aStaleClockOffsetDoesNotLengthenTheLease)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    const mono_time measured = endpoint.now;
+    std::chrono::milliseconds last{};
+    mono_time sentAt{};
+    std::uint32_t index = 0;
+    while (endpoint.now < measured + 10s) {
+        endpoint.now += 100ms;
+        endpoint.supervisor.runTimers(endpoint.now);
+        endpoint.collect();
+        for (const list_runs &call : std::exchange(endpoint.lists, {})) {
+            list_runs_result none;
+            none.number = call.number;
+            endpoint.supervisor.listed(none, endpoint.now);
+        }
+        endpoint.starts.clear();
+        endpoint.orderOf(1, endpoint.now, index);
+        for (const start_run &call : endpoint.starts) {
+            last = call.leaseEnd;
+            sentAt = endpoint.now;
+            endpoint.supervisor.startAnswered(call.id, call_result::full, endpoint.now);
+            endpoint.supervisor.stopAnswered(call.id, call_result::accepted, endpoint.now);
+        }
+        ++index;
+    }
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(sentAt - measured);
+    const auto workerClock = std::chrono::duration_cast<std::chrono::milliseconds>(measured.time_since_epoch()) + EndpointAhead
+        + std::chrono::milliseconds(age.count() * 98 / 100);
+    BOOST_TEST((last - workerClock).count() <= 663);
+}
+
 // Guards against a token below that of an earlier agent after the wall clock was set back.
 BOOST_AUTO_TEST_CASE(raisesTheTokenUntilTheEndpointTakesIt)
 {
