Send nothing after the runs of an endpoint were reported as ended

A start that was queued, or an open call that libcurl repeated on a new connection, could still reach the worker, or its next life under the same id, after the home had been told that the run has ended. The repeat by libcurl was read, not reproduced.

--- a/src/agent/run/run_supervisor_private.cpp
+++ b/src/agent/run/run_supervisor_private.cpp
@@ -320,14 +320,15 @@
     markLost(result == call_result::unreachable ? "the connection was refused" : "another instance answered", now);
 }
 
-// All runs of an instance end with it, the started ones first. A run whose start was refused with the connection is not reported
-// as not started, because the HTTP client repeats a request whose connection was closed.
+// All runs of an instance end with it, the started ones first. Calls that are not sent yet could start a run in the next instance. A run whose start was
+// refused with the connection is not reported as not started, because the HTTP client repeats a request whose connection was closed.
 void run_supervisor_private::markLost(std::string_view why, mono_time now)
 {
     if (lost) {
         return;
     }
     lost = true;
+    calls.clear();
     if (log.isEnabled()) {
         const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(now - lastContact);
         log.write(log_part::agent, concat("Lost the endpoint. why=", why, " runs=", runs.size(), " silence_ms=", silence.count()));
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -59,10 +59,7 @@
 
     ~worker_client_private()
     {
-        for (auto &[handle, exchange] : active) {
-            curl_multi_remove_handle(multi, handle);
-        }
-        active.clear();
+        dropCalls();
         idle.clear();
         curl_multi_cleanup(multi);
     }
@@ -77,6 +74,9 @@
             int running = 0;
             curl_multi_perform(multi, &running);
             const bool answered = finishCalls();
+            if (supervisor.isLost()) {
+                dropCalls();
+            }
             report();
             if (!answered) {
                 const auto left = std::chrono::ceil<std::chrono::milliseconds>(supervisor.nextDue() - mono_clock::now());
@@ -117,6 +117,15 @@
         }
     }
 
+    // Aborts the open calls. libcurl could repeat one on a new connection, to the next instance of the worker.
+    void dropCalls()
+    {
+        for (auto &[handle, exchange] : active) {
+            curl_multi_remove_handle(multi, handle);
+        }
+        active.clear();
+    }
+
     // Passes the received responses to the supervisor. Returns whether there were any.
     bool finishCalls()
     {
--- a/tests/agent/run/run_supervisor_test.cpp
+++ b/tests/agent/run/run_supervisor_test.cpp
@@ -725,4 +725,27 @@
     }
 }
 
+// Guards against a start that is sent after the runs of its endpoint were reported as ended.
+BOOST_AUTO_TEST_CASE(nothingIsSentAfterTheRunsWereReportedAsEnded)
+{
+    supervised_endpoint endpoint;
+    endpoint.answerLists();
+    call_endpoint call;
+    call.homeSession = 1;
+    call.homeConfirmedAt = endpoint.now;
+    call.id = {.ticket = {.incarnation = 1, .sequence = 1}, .index = 0, .attempt = 1};
+    call.key = "00112233aabbccdd";
+    call.payload = "spec";
+    call.timeLimit = 10s;
+    endpoint.supervisor.start(call, endpoint.now);
+    list_runs_result refused;
+    refused.number = 2;
+    refused.result = call_result::unreachable;
+    endpoint.supervisor.listed(refused, endpoint.now);
+    BOOST_TEST(endpoint.supervisor.isLost());
+    BOOST_TEST(endpoint.outcome().has_value());
+    endpoint.collect();
+    BOOST_TEST(endpoint.starts.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
