Ask for the next confirmation counted from the registration

The next call to an entry was due 200 ms after its welcome arrived, but the session is confirmed as of the registration. After a welcome that took 400 ms, starts were refused and runs stopped at a healthy session until the next answer.

--- a/src/rpc/entry_session.cpp
+++ b/src/rpc/entry_session.cpp
@@ -77,7 +77,7 @@
     for (const std::string &address : answer.entries) {
         m_context.directory.learn(address, mono_clock::now());
     }
-    m_calledAt = mono_clock::now();
+    m_calledAt = m_registrationSentAt; // It confirms the session no longer than any other call sent then.
     m_context.events.push(entry_joined{answer.self, m_registrationSentAt});
     m_registered->fulfill();
     // The agent may have started to leave after the registration was sent.
--- a/tests/chain/chain_session.cpp
+++ b/tests/chain/chain_session.cpp
@@ -84,7 +84,7 @@
         open(m_entry, ++m_sessions);
         send(m_entry, m_agent, true, [this, session = m_sessions, sentAt] {
             m_registrationSentAt = sentAt;
-            m_calledAt = m_timeline.now();
+            m_calledAt = sentAt;
             open(m_agent, session);
         });
     });
