Let a home wait for the end of a lost run as the lease of its sessions asks

The wait was 1450 ms whatever peers.lease was, although agents keep a run for that lease: from 700 ms on a task could be started beside its run. It is now the lease and 850 ms, the same 1450 ms with the settings of the users' platform. The new case of run_bound_test failed before for 700 ms and 2 s.

--- a/src/proc/entry_component_settings.cpp
+++ b/src/proc/entry_component_settings.cpp
@@ -2,9 +2,19 @@
 
 #include "proc/incarnation.h"
 
+#include <chrono>
+
 namespace teaselward
 {
 
+namespace
+{
+
+// Time that a run may go on after the lease of its home's session: the bound of a stop, the lease of the worker at a slow clock, and a margin.
+constexpr std::chrono::milliseconds RunEndAllowance{850};
+
+} // namespace
+
 entry_info makeEntryInfo(const entry_settings &settings)
 {
     return entry_info{entry_id{makeIncarnation()}, settings.peersListen, settings.failureDomain};
@@ -16,6 +26,7 @@
     result.self = self;
     result.ticketLifetime = settings.ticketLifetime;
     result.sessionLease = settings.lease;
+    result.lostRunTimeout = settings.lease + RunEndAllowance;
     result.strategy = settings.strategy;
     result.seed = self.id.value;
     return result;
--- a/tests/chain/run_bound_test.cpp
+++ b/tests/chain/run_bound_test.cpp
@@ -1,5 +1,6 @@
 #include "agent/run/supervisor_settings.h"
 #include "job/entry_core_settings.h"
+#include "proc/entry_component_settings.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -20,4 +21,16 @@
     BOOST_TEST((entry_core_settings{}.lostRunTimeout > longest));
 }
 
+// Guards against a home that waits for a shorter time than the lease that the settings give to its sessions.
+BOOST_AUTO_TEST_CASE(theWaitOfAHomeFollowsTheLeaseOfItsSessions)
+{
+    entry_settings settings;
+    for (const auto lease : {600ms, 700ms, 2000ms}) {
+        settings.lease = lease;
+        const supervisor_settings supervisor;
+        const auto longest = lease + supervisor.stopBound + std::chrono::ceil<std::chrono::milliseconds>(1.02 * supervisor.lease);
+        BOOST_TEST((entryCoreSettings(settings, {}).lostRunTimeout > longest));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
