--- a/src/agent/run/run_supervisor.cpp
+++ b/src/agent/run/run_supervisor.cpp
@@ -203,7 +203,7 @@
     if (d->detectSilence(now)) {
         return;
     }
-    d->stopUnconfirmed(now);
+    d->stopRunsOfLostHomes(now);
     bool repeatsStops = false;
     for (auto &[id, run] : d->runs) {
         if (run.retryAt <= now) {
--- a/src/agent/run/run_supervisor_private.cpp
+++ b/src/agent/run/run_supervisor_private.cpp
@@ -93,7 +93,7 @@
 }
 
 // Stops the runs whose home has not confirmed its session for too long.
-void run_supervisor_private::stopUnconfirmed(mono_time now)
+void run_supervisor_private::stopRunsOfLostHomes(mono_time now)
 {
     for (auto &[id, run] : runs) {
         const mono_time end = homeEnd(run.order);
--- a/src/agent/run/run_supervisor_private.h
+++ b/src/agent/run/run_supervisor_private.h
@@ -44,7 +44,7 @@
     std::chrono::milliseconds leaseEnd(mono_time now) const;
     bool isLeaseHeldBack(mono_time now) const;
     void addHome(const call_endpoint &order);
-    void stopUnconfirmed(mono_time now);
+    void stopRunsOfLostHomes(mono_time now);
     mono_time homeEnd(const call_endpoint &order) const;
     mono_time endRequested(const supervised_run &run) const;
 
