--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <deque>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <memory>
 #include <random>
@@ -584,8 +585,8 @@
         : record(log)
         , m_program(std::move(programPath))
     {
-        char path[] = "/tmp/teaselward-review-XXXXXX";
-        if (::mkdtemp(path) == nullptr || ::access(m_program.c_str(), X_OK) != 0) {
+        std::string path = std::filesystem::temp_directory_path() / "teaselward-review-XXXXXX";
+        if (::mkdtemp(path.data()) == nullptr || ::access(m_program.c_str(), X_OK) != 0) {
             throw std::runtime_error("the program or the temporary folder is missing");
         }
         directory = path;
