Send starts only on connections that the adopted life of a worker has answered

Cause: a call names only the id of the worker, not its life. Until the agent sees another start time in a list, the next life accepts starts that are meant for the former one. The agent then reports all its runs as lost with the former life, also those that the next life has just accepted.

Change: a connection does not outlive the process that accepted it. Each connection counts as confirmed once the adopted life has answered a list call through it (worker_connections). A start waits for an idle confirmed connection, and a list call opens one (call_dispatcher). libcurl asks before each time that it sends a request, also when it repeats one, and a start on another connection is not sent (worker_exchange). A start that finds no connection within the time limit of a call is reported as not started.

Impossible now: a start that begins in another life than the one that its agent supervises. So all runs of an agent end with that life, and the report of their end is true.

--- /dev/null
+++ b/src/agent/run/call_dispatcher.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "agent/run/run_call.h"
+#include "agent/run/run_id.h"
+#include "base/clock.h"
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+namespace teaselward
+{
+
+namespace detail
+{
+class call_dispatcher_private;
+}
+
+/**
+ * Decides which calls to an endpoint may be sent, so that none of them changes a later instance of the endpoint. An endpoint may start
+ * again under its id, and a call names only the id. A connection does not outlive the instance that accepted it, so a connection is confirmed
+ * once the adopted instance has answered a list call through it. Starts wait for an idle confirmed connection. It does no I/O and reads no clock.
+ */
+class call_dispatcher
+{
+public:
+    /**
+     * Creates a dispatcher without calls.
+     * @param startLimit longest time for which a start waits
+     */
+    explicit call_dispatcher(std::chrono::milliseconds startLimit);
+    ~call_dispatcher();
+
+    call_dispatcher(const call_dispatcher &) = delete;
+    call_dispatcher &operator=(const call_dispatcher &) = delete;
+
+    /**
+     * Adds a call.
+     * @param call the call
+     * @param now current time
+     */
+    void add(run_call call, mono_time now);
+
+    /**
+     * Adds a call again that was not sent, since its connection turned out not to be confirmed. It comes before all others of its kind.
+     * @param call the call
+     * @param now current time
+     */
+    void putBack(run_call call, mono_time now);
+
+    /**
+     * Returns the calls to send now. Starts come first, so that they get the confirmed connections.
+     * @param idleConnections number of idle confirmed connections
+     * @return the calls, in order; each is returned once
+     */
+    std::vector<run_call> takeReady(std::size_t idleConnections);
+
+    /**
+     * Returns the starts that have waited too long. They were not sent.
+     * @param now current time
+     * @return the runs; each is returned once
+     */
+    std::vector<run_id> takeExpired(mono_time now);
+
+    /** @return number of starts that wait for a confirmed connection; a list call on another connection confirms one */
+    std::size_t waitingStarts() const;
+
+    /** @return time at which takeExpired() must be called; the maximum if no start waits */
+    mono_time nextDue() const;
+
+    /** Drops all calls. */
+    void clear();
+
+    /**
+     * Returns whether a call would change the next instance of the endpoint in a way that its agent does not expect.
+     * @param call the call
+     * @return whether it may be sent through a confirmed connection only
+     */
+    static bool needsConfirmed(const run_call &call);
+
+private:
+    std::unique_ptr<detail::call_dispatcher_private> d;
+};
+
+} // namespace teaselward
--- a/src/agent/run/call_result.h
+++ b/src/agent/run/call_result.h
@@ -16,6 +16,7 @@
     invalid, ///< The endpoint considers the call malformed.
     endpointRestarted, ///< The endpoint has restarted since it was adopted.
     unreachable, ///< Nothing listens at the address.
+    unsent, ///< The call was not sent, and never will be.
     unanswered, ///< No answer; the call may have been executed or may be executed later.
 };
 
--- a/src/agent/run/run_supervisor.cpp
+++ b/src/agent/run/run_supervisor.cpp
@@ -30,6 +30,11 @@
     refusal_rule{call_result::invalid, task_verdict::failed, reason::taskFailed},
 };
 
+bool isAnswer(call_result result)
+{
+    return result != call_result::unanswered && result != call_result::unsent;
+}
+
 } // namespace
 
 run_supervisor::run_supervisor(const supervisor_settings &settings, mono_time now, logger &log)
@@ -89,12 +94,16 @@
         d->markCrashed(result, now);
         return;
     }
-    if (result != call_result::unanswered) {
+    if (isAnswer(result)) {
         d->lastContact = now;
     }
     if (found == d->runs.end()) {
         return;
     }
+    if (result == call_result::unsent) {
+        d->finish(id, task_verdict::notStarted, found->second.stopRequested ? found->second.stopReason : reason::overloaded, now);
+        return;
+    }
     supervised_run &run = found->second;
     if (result == call_result::accepted && !run.hasStarted) {
         run.hasStarted = true;
@@ -139,7 +148,7 @@
         d->markCrashed(result, now);
         return;
     }
-    if (result != call_result::unanswered) {
+    if (isAnswer(result)) {
         d->lastContact = now;
     }
     const auto found = d->runs.find(id);
@@ -195,6 +204,13 @@
     }
 }
 
+void run_supervisor::requestLists(mono_time now)
+{
+    if (!d->lost) {
+        d->sendList(std::chrono::milliseconds::zero(), now);
+    }
+}
+
 void run_supervisor::runTimers(mono_time now)
 {
     if (d->lost) {
--- a/src/agent/run/run_supervisor.h
+++ b/src/agent/run/run_supervisor.h
@@ -87,6 +87,12 @@
      */
     void listed(const list_runs_result &lists, mono_time now);
 
+    /**
+     * Requests the lists at once. Ignored if the endpoint is lost.
+     * @param now current time
+     */
+    void requestLists(mono_time now);
+
     /**
      * Performs what is due: time limits, retries and the next list call.
      * @param now current time
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -1,16 +1,19 @@
 #include "platform/worker_client.h"
 
+#include "agent/run/call_dispatcher.h"
 #include "agent/run/run_supervisor.h"
 #include "base/duty_thread.h"
 #include "http/http_error.h"
 #include "platform/run_codec.h"
 #include "platform/worker_command.h"
+#include "platform/worker_connections.h"
 #include "platform/worker_exchange.h"
 
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
 #include <atomic>
+#include <iterator>
 #include <optional>
 #include <system_error>
 #include <utility>
@@ -43,6 +46,7 @@
         , onLost(std::move(lost))
         , metrics(runMetrics)
         , commands(settings.ringCapacity)
+        , dispatcher(settings.callLimit)
         , supervisor(settings.supervisor, mono_clock::now(), log)
     {
         multi = curl_multi_init();
@@ -79,7 +83,8 @@
             }
             report();
             if (!answered) {
-                const auto left = std::chrono::ceil<std::chrono::milliseconds>(supervisor.nextDue() - mono_clock::now());
+                const mono_time due = std::min(supervisor.nextDue(), dispatcher.nextDue());
+                const auto left = std::chrono::ceil<std::chrono::milliseconds>(due - mono_clock::now());
                 const auto sleep = std::clamp(left, std::chrono::milliseconds::zero(), MaxPollTime);
                 curl_multi_poll(multi, nullptr, 0, static_cast<int>(sleep.count()), nullptr);
             }
@@ -101,20 +106,52 @@
     }
 
     void sendCalls()
+    {
+        const mono_time now = mono_clock::now();
+        addCalls(now);
+        for (const run_id &id : dispatcher.takeExpired(now)) {
+            supervisor.startAnswered(id, call_result::unsent, now);
+        }
+        std::vector<run_call> ready = dispatcher.takeReady(connections.idleConfirmed());
+        for (std::size_t opening = openingLists(); opening < dispatcher.waitingStarts(); ++opening) {
+            supervisor.requestLists(now);
+        }
+        addCalls(now);
+        std::ranges::move(dispatcher.takeReady(0), std::back_inserter(ready));
+        for (run_call &call : ready) {
+            send(std::move(call));
+        }
+    }
+
+    void addCalls(mono_time now)
     {
         for (run_call &call : supervisor.takeCalls()) {
-            std::unique_ptr<worker_exchange> exchange;
-            if (idle.empty()) {
-                exchange = std::make_unique<worker_exchange>(settings);
-            } else {
-                exchange = std::move(idle.back());
-                idle.pop_back();
-            }
-            exchange->prepare(std::move(call));
-            CURL *handle = exchange->handle();
-            curl_multi_add_handle(multi, handle);
-            active.emplace(handle, std::move(exchange));
+            dispatcher.add(std::move(call), now);
+        }
+    }
+
+    // Returns the number of list calls whose answers will confirm connections for starts that wait.
+    std::size_t openingLists() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(active, [this](const auto &item) {
+            const auto *list = std::get_if<list_runs>(&item.second->call());
+            return list != nullptr && list->wait.count() == 0 && !connections.isConfirmed(item.second->localPort());
+        }));
+    }
+
+    void send(run_call &&call)
+    {
+        std::unique_ptr<worker_exchange> exchange;
+        if (idle.empty()) {
+            exchange = std::make_unique<worker_exchange>(settings, connections);
+        } else {
+            exchange = std::move(idle.back());
+            idle.pop_back();
         }
+        exchange->prepare(std::move(call));
+        CURL *handle = exchange->handle();
+        curl_multi_add_handle(multi, handle);
+        active.emplace(handle, std::move(exchange));
     }
 
     // Aborts the open calls. libcurl could repeat one on a new connection, to the next instance of the worker.
@@ -124,6 +161,7 @@
             curl_multi_remove_handle(multi, handle);
         }
         active.clear();
+        dispatcher.clear();
     }
 
     // Passes the received responses to the supervisor. Returns whether there were any.
@@ -141,6 +179,7 @@
             std::unique_ptr<worker_exchange> exchange = std::move(found->second);
             active.erase(found);
             curl_multi_remove_handle(multi, handle);
+            connections.release(exchange->localPort());
             apply(*exchange, exchange->result(result));
             idle.push_back(std::move(exchange));
             any = true;
@@ -151,6 +190,10 @@
     void apply(const worker_exchange &exchange, call_result result)
     {
         const mono_time now = mono_clock::now();
+        if (result == call_result::unsent) {
+            dispatcher.putBack(exchange.call(), now);
+            return;
+        }
         if (result == call_result::unanswered) {
             metrics.countUnansweredCall();
         }
@@ -162,10 +205,19 @@
             list_runs_result lists;
             lists.number = std::get<list_runs>(exchange.call()).number;
             lists.result = result == call_result::accepted && !decodeLists(exchange.body(), lists) ? call_result::unanswered : result;
+            if (lists.result == call_result::accepted && isAdoptedInstance(lists)) {
+                connections.confirm(exchange.localPort());
+            }
             supervisor.listed(lists, now);
         }
     }
 
+    bool isAdoptedInstance(const list_runs_result &lists) const
+    {
+        const std::chrono::milliseconds start = settings.supervisor.endpointStart;
+        return start.count() == 0 || lists.endpointStart == start;
+    }
+
     void report()
     {
         bounded_ring<agent_event> *const ring = events;
@@ -195,6 +247,8 @@
     std::function<void()> onLost;
     run_metrics &metrics;
     bounded_ring<worker_command> commands;
+    worker_connections connections;
+    call_dispatcher dispatcher;
     run_supervisor supervisor;
     CURLM *multi = nullptr;
     std::atomic<bounded_ring<agent_event> *> events = nullptr;
--- a/src/platform/worker_exchange.cpp
+++ b/src/platform/worker_exchange.cpp
@@ -1,5 +1,6 @@
 #include "platform/worker_exchange.h"
 
+#include "agent/run/call_dispatcher.h"
 #include "http/http_error.h"
 #include "platform/run_codec.h"
 
@@ -46,8 +47,9 @@
 class worker_exchange_private
 {
 public:
-    explicit worker_exchange_private(const worker_client_settings &clientSettings)
+    worker_exchange_private(const worker_client_settings &clientSettings, worker_connections &clientConnections)
         : settings(clientSettings)
+        , connections(clientConnections)
         , handle(curl_easy_init())
     {
     }
@@ -69,18 +71,43 @@
         return size * count;
     }
 
+    // Callback of libcurl on a new or reused connection, before each time that it sends the request. Through a connection that is not confirmed, also
+    // when libcurl repeats a call, the call could reach the next instance of the worker.
+    static int onConnected(void *self, char * /*remoteAddress*/, char * /*localAddress*/, int /*remotePort*/, int localPort)
+    {
+        auto *exchange = static_cast<worker_exchange_private *>(self);
+        if (call_dispatcher::needsConfirmed(exchange->call) && !exchange->connections.isConfirmed(localPort)) {
+            return CURL_PREREQFUNC_ABORT;
+        }
+        exchange->localPort = localPort;
+        exchange->connections.occupy(localPort);
+        return CURL_PREREQFUNC_OK;
+    }
+
+    static curl_socket_t openSocket(void *connections, curlsocktype /*purpose*/, curl_sockaddr *address)
+    {
+        return static_cast<worker_connections *>(connections)->open(address->family, address->socktype, address->protocol);
+    }
+
+    static int closeSocket(void *connections, curl_socket_t socket)
+    {
+        return static_cast<worker_connections *>(connections)->close(socket);
+    }
+
     const worker_client_settings &settings;
+    worker_connections &connections;
     CURL *handle;
     curl_slist *headers = nullptr;
     run_call call;
+    int localPort = 0; ///< Zero if the call was not sent.
     std::string request;
     std::string response;
 };
 
 } // namespace detail
 
-worker_exchange::worker_exchange(const worker_client_settings &settings)
-    : d(std::make_unique<detail::worker_exchange_private>(settings))
+worker_exchange::worker_exchange(const worker_client_settings &settings, worker_connections &connections)
+    : d(std::make_unique<detail::worker_exchange_private>(settings, connections))
 {
     if (d->handle == nullptr) {
         throw std::system_error(http_error::clientFailed);
@@ -101,6 +128,12 @@
     curl_easy_setopt(handle, CURLOPT_POST, 1L);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &detail::worker_exchange_private::receive);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, d.get());
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &detail::worker_exchange_private::onConnected);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, d.get());
+    curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, &detail::worker_exchange_private::openSocket);
+    curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, &connections);
+    curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &detail::worker_exchange_private::closeSocket);
+    curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, &connections);
 }
 
 worker_exchange::~worker_exchange() = default;
@@ -108,6 +141,7 @@
 void worker_exchange::prepare(run_call call)
 {
     d->call = std::move(call);
+    d->localPort = 0;
     d->response.clear();
     const std::string url = std::visit(
         [this](const auto &one) {
@@ -131,10 +165,13 @@
     return d->call;
 }
 
-// libcurl automatically retries a call if a reused connection turns out to be closed. That is safe, because all calls may be
-// repeated.
+// libcurl automatically retries a call if a reused connection turns out to be closed. One instance of the worker may receive a call twice; the next
+// instance receives no start (see onConnected).
 call_result worker_exchange::result(CURLcode result) const
 {
+    if (result == CURLE_ABORTED_BY_CALLBACK && d->localPort == 0) {
+        return call_result::unsent;
+    }
     if (result == CURLE_COULDNT_CONNECT) {
         long osError = 0;
         curl_easy_getinfo(d->handle, CURLINFO_OS_ERRNO, &osError);
@@ -151,6 +188,11 @@
     return osError == ECONNREFUSED ? call_result::unreachable : call_result::unanswered;
 }
 
+int worker_exchange::localPort() const
+{
+    return d->localPort;
+}
+
 const std::string &worker_exchange::body() const
 {
     return d->response;
--- a/src/platform/worker_exchange.h
+++ b/src/platform/worker_exchange.h
@@ -3,6 +3,7 @@
 #include "agent/run/call_result.h"
 #include "agent/run/run_call.h"
 #include "platform/worker_client_settings.h"
+#include "platform/worker_connections.h"
 
 #include <curl/curl.h>
 
@@ -24,9 +25,10 @@
     /**
      * Creates an exchange.
      * @param settings settings of the client; they must outlive the exchange
+     * @param connections connections of the client; they must outlive the exchange and all connections that libcurl opens for it
      * @throws std::system_error if libcurl cannot create a handle
      */
-    explicit worker_exchange(const worker_client_settings &settings);
+    worker_exchange(const worker_client_settings &settings, worker_connections &connections);
     ~worker_exchange();
 
     worker_exchange(const worker_exchange &) = delete;
@@ -58,6 +60,9 @@
      */
     static call_result connectionFailure(long osError);
 
+    /** @return local port of the connection that the call was sent through last; zero if it was not sent */
+    int localPort() const;
+
     /** @return body of the response */
     const std::string &body() const;
 
--- a/tests/support/worker_stub.cpp
+++ b/tests/support/worker_stub.cpp
@@ -32,6 +32,7 @@
 constexpr std::chrono::milliseconds HeartbeatInterval{100};
 constexpr std::chrono::milliseconds MaxLease{1000};
 constexpr unsigned Conflict = 409;
+constexpr std::int64_t FirstBorn = 1000;
 
 /** Run of a task that is in progress. */
 struct stub_run {
@@ -72,9 +73,15 @@
     {
     }
 
-    json clockFields() const
+    // Start time that the worker states; only that it differs between lives matters.
+    milliseconds born() const ABSL_SHARED_LOCKS_REQUIRED(mutex)
     {
-        return {{"ClockMs", std::chrono::duration_cast<milliseconds>(clock::now() - bornAt).count()}, {"born", 1000}};
+        return milliseconds(FirstBorn + life);
+    }
+
+    json clockFields() const ABSL_SHARED_LOCKS_REQUIRED(mutex)
+    {
+        return {{"ClockMs", std::chrono::duration_cast<milliseconds>(clock::now() - bornAt).count()}, {"born", born().count()}};
     }
 
     // Executes delayed starts that are due, and finishes runs whose time or lease has ended. Called before each access to the runs.
@@ -162,6 +169,7 @@
         }
         runs.emplace(name, run);
         ++startedRuns;
+        ++startedRunsOfThisLife;
         return std::nullopt;
     }
 
@@ -211,10 +219,15 @@
             return row.at(0).get<std::uint64_t>() <= acknowledged;
         });
         processDue();
-        while (finishedRuns.empty() && clock::now() < until) {
+        const std::uint64_t calledLife = life;
+        while (finishedRuns.empty() && clock::now() < until && !isDark && life == calledLife) {
             changed.WaitWithTimeout(&mutex, absl::Milliseconds(5));
             processDue();
         }
+        waitWhileDark();
+        if (life != calledLife) {
+            return MHD_NO;
+        }
         json answer = clockFields();
         answer["Finished"] = finishedRuns;
         answer["Running"] = json::array();
@@ -226,11 +239,42 @@
         return reply(connection, MHD_HTTP_OK, answer);
     }
 
+    void waitWhileDark() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        while (isDark && !stopping.HasBeenNotified()) {
+            changed.WaitWithTimeout(&mutex, absl::Milliseconds(5));
+        }
+    }
+
+    // Returns whether a call may be handled: a life handles only calls on connections that it has accepted. Waits while the worker is dark.
+    bool admits(MHD_Connection *connection)
+    {
+        const absl::MutexLock lock(&mutex);
+        waitWhileDark();
+        const auto found = connectionLives.find(connection);
+        return found != connectionLives.end() && found->second == life;
+    }
+
+    // Records the life that accepts a connection; one that is opened while the worker is dark belongs to no life.
+    static void onConnection(void *self, MHD_Connection *connection, void ** /*context*/, MHD_ConnectionNotificationCode code)
+    {
+        auto *stub = static_cast<worker_stub_private *>(self);
+        const absl::MutexLock lock(&stub->mutex);
+        if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+            stub->connectionLives[connection] = stub->isDark ? 0 : stub->life;
+        } else {
+            stub->connectionLives.erase(connection);
+        }
+    }
+
     // Main function of the heartbeat thread.
     void sendHeartbeats()
     {
         std::uint64_t sequence = 0;
         while (!stopping.WaitForNotificationWithTimeout(absl::FromChrono(HeartbeatInterval))) {
+            if (agent.empty() || isSilent()) {
+                continue;
+            }
             const auto [drains, capacity] = announcedState();
             const json body{{"Service", "register"},
                             {"Address", address},
@@ -242,12 +286,24 @@
                             {"Capacity", {{"Cpu", capacity}, {"MemMb", 4096}, {"Gpu", 0}}},
                             {"Labels", json::array()},
                             {"ClockMs", 1},
-                            {"born", 1000},
+                            {"born", announcedBorn()},
                             {"Sequence", ++sequence}};
             testing::put("http://" + agent + "/teaselward/instances/i-1", body);
         }
     }
 
+    bool isSilent()
+    {
+        const absl::MutexLock lock(&mutex);
+        return isDark;
+    }
+
+    std::int64_t announcedBorn()
+    {
+        const absl::MutexLock lock(&mutex);
+        return born().count();
+    }
+
     // Returns whether the worker drains, and its CPU capacity.
     std::pair<bool, std::uint32_t> announcedState()
     {
@@ -260,8 +316,11 @@
 
     const std::string address;
     const std::string agent;
-    const clock::time_point bornAt = clock::now() - std::chrono::seconds(50);
     mutable absl::Mutex mutex;
+    clock::time_point bornAt ABSL_GUARDED_BY(mutex) = clock::now() - std::chrono::seconds(50);
+    std::uint64_t life ABSL_GUARDED_BY(mutex) = 1;
+    bool isDark ABSL_GUARDED_BY(mutex) = false;
+    std::map<MHD_Connection *, std::uint64_t> connectionLives ABSL_GUARDED_BY(mutex);
     std::uint32_t cpuMillis ABSL_GUARDED_BY(mutex);
     absl::CondVar changed;
     std::map<std::string, stub_run> runs ABSL_GUARDED_BY(mutex);
@@ -273,6 +332,7 @@
     std::uint64_t fenceToken ABSL_GUARDED_BY(mutex) = 0;
     clock::time_point leaseEnd ABSL_GUARDED_BY(mutex) = clock::now();
     std::size_t startedRuns ABSL_GUARDED_BY(mutex) = 0;
+    std::size_t startedRunsOfThisLife ABSL_GUARDED_BY(mutex) = 0;
     int startsToDelay ABSL_GUARDED_BY(mutex) = 0;
     milliseconds startDelay ABSL_GUARDED_BY(mutex){};
     bool fails ABSL_GUARDED_BY(mutex) = false;
@@ -302,6 +362,9 @@
         *size = 0;
         return MHD_YES;
     }
+    if (!stub->admits(connection)) {
+        return MHD_NO;
+    }
     const std::string_view path = url;
     const json body = json::parse(*text, nullptr, false);
     if (path == "/teaselward/run-start") {
@@ -338,6 +401,9 @@
                                  MHD_OPTION_NOTIFY_COMPLETED,
                                  static_cast<MHD_RequestCompletedCallback>(onCompleted),
                                  nullptr,
+                                 MHD_OPTION_NOTIFY_CONNECTION,
+                                 &detail::worker_stub_private::onConnection,
+                                 d.get(),
                                  MHD_OPTION_END);
     if (d->daemon == nullptr) {
         throw std::runtime_error("cannot listen on " + d->address);
@@ -379,6 +445,42 @@
     d->cpuMillis = cpuMillis;
 }
 
+void worker_stub::crash()
+{
+    const absl::MutexLock lock(&d->mutex);
+    d->processDue();
+    d->isDark = true;
+    d->runs.clear();
+    d->delayedStarts.clear();
+}
+
+void worker_stub::restart()
+{
+    const absl::MutexLock lock(&d->mutex);
+    ++d->life;
+    d->bornAt = clock::now();
+    d->leaseEnd = d->bornAt;
+    d->highestAttempts.clear();
+    d->finishedRuns.clear();
+    d->lastSequence = 0;
+    d->fenceToken = 0;
+    d->startedRunsOfThisLife = 0;
+    d->isDark = false;
+    d->changed.SignalAll();
+}
+
+std::chrono::milliseconds worker_stub::born() const
+{
+    const absl::MutexLock lock(&d->mutex);
+    return d->born();
+}
+
+std::size_t worker_stub::startedRunsOfThisLife() const
+{
+    const absl::MutexLock lock(&d->mutex);
+    return d->startedRunsOfThisLife;
+}
+
 std::size_t worker_stub::startedRuns() const
 {
     const absl::MutexLock lock(&d->mutex);
--- a/tests/support/worker_stub.h
+++ b/tests/support/worker_stub.h
@@ -24,7 +24,7 @@
     /**
      * Opens the listener and starts sending heartbeats.
      * @param address address to listen on, as IP:PORT
-     * @param agent address to which heartbeats are sent, as IP:PORT
+     * @param agent address to which heartbeats are sent, as IP:PORT; empty to send none
      * @param cpuMillis CPU capacity of the worker in thousandths of a core
      * @throws std::runtime_error if the listener cannot be opened
      */
@@ -50,6 +50,18 @@
     /** Changes the CPU capacity while the worker runs. @param cpuMillis thousandths of a core */
     void setCapacity(std::uint32_t cpuMillis);
 
+    /** Crashes: all runs end, and calls get no answer. The connections stay open, so callers notice nothing. */
+    void crash();
+
+    /** Starts again after crash() at the same address and under the same id, without memory of the former life. Closes its connections. */
+    void restart();
+
+    /** @return start time of the current life since 1970 */
+    std::chrono::milliseconds born() const;
+
+    /** @return number of runs started in the current life */
+    std::size_t startedRunsOfThisLife() const;
+
     /** @return number of runs started so far */
     std::size_t startedRuns() const;
 
