Renew leases only on connections that the adopted life of a worker has answered

What callers could see: a run at a worker that has just returned under its id outlives the time by which its agent takes it as over, up to the longest lease of the platform (1000 ms) instead of our 650 ms. Our times for a run whose stop gets no answer (753 ms) count on 650.

Cause: the list call that shows another life, and those that libcurl repeats, carry a lease on the clock of the former life. The clock of the next life begins anew, so the lease lies far ahead, is cut to the longest one, and a lease never shortens. The call also acknowledges ends by the numbers of the former life; the next life counts from 1 and may forget its own ends.

Change: a list call that has to use a connection without an answer of the adopted life renews no lease, acknowledges nothing and is answered at once. Its answer confirms the connection for the renewals that follow. The guard of starts before sending covers such list calls as well.

Impossible now: a lease or an acknowledgement of the former life that the next one takes.

--- a/src/agent/run/call_dispatcher.cpp
+++ b/src/agent/run/call_dispatcher.cpp
@@ -10,6 +10,19 @@
 namespace teaselward
 {
 
+namespace
+{
+
+// Removes all that would change the next instance of the endpoint.
+void makeHarmless(list_runs &call)
+{
+    call.leaseEnd.reset();
+    call.acknowledged = 0;
+    call.wait = std::chrono::milliseconds::zero(); // The answer confirms the connection.
+}
+
+} // namespace
+
 namespace detail
 {
 
@@ -61,15 +74,21 @@
         d->starts.pop_front();
     }
     for (run_call &call : std::exchange(d->others, {})) {
+        if (auto *list = std::get_if<list_runs>(&call); list != nullptr && idleConnections == 0) {
+            makeHarmless(*list);
+        }
+        idleConnections -= std::min<std::size_t>(idleConnections, 1); // libcurl prefers an idle connection.
         ready.push_back(std::move(call));
     }
     return ready;
 }
 
-// A stop changes nothing in the next instance, which has no run of the task.
+// A stop changes nothing in the next instance, which has no run of the task. A lease on the clock of the former instance would hold the
+// runs of the next one for as long as the endpoint allows, and ends of its runs would count as acknowledged.
 bool call_dispatcher::needsConfirmed(const run_call &call)
 {
-    return std::holds_alternative<start_run>(call);
+    const auto *list = std::get_if<list_runs>(&call);
+    return std::holds_alternative<start_run>(call) || (list != nullptr && (list->leaseEnd || list->acknowledged > 0));
 }
 
 std::vector<run_id> call_dispatcher::takeExpired(mono_time now)
--- a/src/agent/run/call_dispatcher.h
+++ b/src/agent/run/call_dispatcher.h
@@ -20,7 +20,8 @@
 /**
  * Decides which calls to an endpoint may be sent, so that none of them changes a later instance of the endpoint. An endpoint may start
  * again under its id, and a call names only the id. A connection does not outlive the instance that accepted it, so a connection is confirmed
- * once the adopted instance has answered a list call through it. Starts wait for an idle confirmed connection. It does no I/O and reads no clock.
+ * once the adopted instance has answered a list call through it. Starts wait for an idle confirmed connection; the lease is renewed through such a connection
+ * only. It does no I/O and reads no clock.
  */
 class call_dispatcher
 {
@@ -50,7 +51,8 @@
     void putBack(run_call call, mono_time now);
 
     /**
-     * Returns the calls to send now. Starts come first, so that they get the confirmed connections.
+     * Returns the calls to send now. Starts come first, so that they get the confirmed connections. A list call that has to use another
+     * connection renews no lease, acknowledges no ends and is answered at once.
      * @param idleConnections number of idle confirmed connections
      * @return the calls, in order; each is returned once
      */
--- a/src/platform/worker_exchange.cpp
+++ b/src/platform/worker_exchange.cpp
@@ -166,7 +166,7 @@
 }
 
 // libcurl automatically retries a call if a reused connection turns out to be closed. One instance of the worker may receive a call twice; the next
-// instance receives no start (see onConnected).
+// instance receives no start and no lease (see onConnected).
 call_result worker_exchange::result(CURLcode result) const
 {
     if (result == CURLE_ABORTED_BY_CALLBACK && d->localPort == 0) {
--- a/tests/agent/run/call_dispatcher_test.cpp
+++ b/tests/agent/run/call_dispatcher_test.cpp
@@ -20,6 +20,11 @@
     return {.id = {.job = "00112233aabbccdd", .index = index}, .spec = "spec", .leaseEnd = 500ms};
 }
 
+list_runs renewal()
+{
+    return {.number = 7, .leaseEnd = 500ms, .acknowledged = 3, .wait = 50ms};
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(call_dispatcher_test)
@@ -65,6 +70,36 @@
     BOOST_TEST(std::get<start_run>(ready[0]).id.index == 1U);
 }
 
+// Guards against a lease and an acknowledgement that the next instance of the endpoint takes for its own runs.
+BOOST_AUTO_TEST_CASE(aListWithoutAConfirmedConnectionChangesNothing)
+{
+    call_dispatcher dispatcher(StartLimit);
+    dispatcher.add(start(1), Now);
+    dispatcher.add(renewal(), Now);
+    const std::vector<run_call> ready = dispatcher.takeReady(1);
+    BOOST_TEST_REQUIRE(ready.size() == 2U);
+    const auto &list = std::get<list_runs>(ready[1]);
+    BOOST_TEST(list.number == 7U);
+    BOOST_TEST(!list.leaseEnd.has_value());
+    BOOST_TEST(list.acknowledged == 0U);
+    BOOST_TEST(list.wait.count() == 0);
+    BOOST_TEST(!call_dispatcher::needsConfirmed(list));
+}
+
+// Guards against a lease that is never renewed.
+BOOST_AUTO_TEST_CASE(aListOnAConfirmedConnectionRenewsTheLease)
+{
+    call_dispatcher dispatcher(StartLimit);
+    dispatcher.add(renewal(), Now);
+    const std::vector<run_call> ready = dispatcher.takeReady(1);
+    BOOST_TEST_REQUIRE(ready.size() == 1U);
+    const auto &list = std::get<list_runs>(ready[0]);
+    BOOST_TEST(list.leaseEnd.has_value());
+    BOOST_TEST(list.acknowledged == 3U);
+    BOOST_TEST((list.wait == 50ms));
+    BOOST_TEST(call_dispatcher::needsConfirmed(list));
+}
+
 // Guards against a stop that waits: it changes nothing in the next instance, and bounds how long a run goes on.
 BOOST_AUTO_TEST_CASE(aStopIsSentAtOnce)
 {
--- a/tests/platform/returned_worker_calls_test.cpp
+++ b/tests/platform/returned_worker_calls_test.cpp
@@ -59,4 +59,21 @@
     }
 }
 
+// Guards against a lease on the clock of the former life of a worker that its next life takes for as long as the platform allows.
+BOOST_AUTO_TEST_CASE(aListForTheFormerLifeExtendsNoLeaseOfTheNext)
+{
+    const std::string address = testing::freeAddress();
+    worker_stub worker(address, "", CpuMillis);
+    for (int round = 0; round < Rounds; ++round) {
+        worker_client_host client(worker, address, 10 + static_cast<std::uint64_t>(round));
+        BOOST_TEST_REQUIRE(client.waitUntilReady());
+        fill(client, worker, 0);
+        worker.crash();
+        std::this_thread::sleep_for(std::chrono::milliseconds(10 * round));
+        worker.restart();
+        BOOST_TEST(client.waitUntilLost());
+        BOOST_TEST(worker.leaseLeft().count() == 0);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/worker_stub.cpp
+++ b/tests/support/worker_stub.cpp
@@ -481,6 +481,12 @@
     return d->startedRunsOfThisLife;
 }
 
+std::chrono::milliseconds worker_stub::leaseLeft() const
+{
+    const absl::MutexLock lock(&d->mutex);
+    return std::max(milliseconds::zero(), std::chrono::duration_cast<milliseconds>(d->leaseEnd - clock::now()));
+}
+
 std::size_t worker_stub::startedRuns() const
 {
     const absl::MutexLock lock(&d->mutex);
--- a/tests/support/worker_stub.h
+++ b/tests/support/worker_stub.h
@@ -62,6 +62,9 @@
     /** @return number of runs started in the current life */
     std::size_t startedRunsOfThisLife() const;
 
+    /** @return time for which the lease of the current life still holds runs */
+    std::chrono::milliseconds leaseLeft() const;
+
     /** @return number of runs started so far */
     std::size_t startedRuns() const;
 
