Send no waiting start after the endpoint was lost

A start that waits for a connection stayed with call_dispatcher when the supervisor found the endpoint silent and reported its runs as ended. If a connection was idle at that moment, the start was sent all the same, before the open calls were dropped, and could begin beside the run that its home starts elsewhere.

call_dispatcher now takes the calls of the supervisor itself and checks for the loss before it returns any (collect()). A refused wait is logged.

--- a/src/agent/run/call_dispatcher.cpp
+++ b/src/agent/run/call_dispatcher.cpp
@@ -34,11 +34,56 @@
     {
     }
 
+    void addCalls(run_supervisor &supervisor, mono_time now);
+    void reportExpired(run_supervisor &supervisor, mono_time now);
+    void takeReady(std::size_t idleConnections, std::vector<run_call> &ready);
+
     const std::chrono::milliseconds startLimit;
     std::deque<waiting_start> starts;
     std::vector<run_call> others;
 };
 
+void call_dispatcher_private::addCalls(run_supervisor &supervisor, mono_time now)
+{
+    for (run_call &call : supervisor.takeCalls()) {
+        if (auto *start = std::get_if<start_run>(&call)) {
+            starts.push_back({.call = std::move(*start), .since = now});
+        } else {
+            others.push_back(std::move(call));
+        }
+    }
+}
+
+void call_dispatcher_private::reportExpired(run_supervisor &supervisor, mono_time now)
+{
+    std::vector<run_id> expired;
+    std::erase_if(starts, [this, now, &expired](const waiting_start &start) {
+        const bool isExpired = now - start.since >= startLimit;
+        if (isExpired) {
+            expired.push_back(start.call.id);
+        }
+        return isExpired;
+    });
+    for (const run_id &id : expired) {
+        supervisor.startAnswered(id, call_result::unsent, now);
+    }
+}
+
+void call_dispatcher_private::takeReady(std::size_t idleConnections, std::vector<run_call> &ready)
+{
+    for (; idleConnections > 0 && !starts.empty(); --idleConnections) {
+        ready.emplace_back(std::move(starts.front().call));
+        starts.pop_front();
+    }
+    for (run_call &call : std::exchange(others, {})) {
+        if (auto *list = std::get_if<list_runs>(&call); list != nullptr && idleConnections == 0) {
+            makeHarmless(*list);
+        }
+        idleConnections -= std::min<std::size_t>(idleConnections, 1); // libcurl prefers an idle connection.
+        ready.push_back(std::move(call));
+    }
+}
+
 } // namespace detail
 
 call_dispatcher::call_dispatcher(std::chrono::milliseconds startLimit)
@@ -48,13 +93,25 @@
 
 call_dispatcher::~call_dispatcher() = default;
 
-void call_dispatcher::add(run_call call, mono_time now)
+std::vector<run_call> call_dispatcher::collect(run_supervisor &supervisor, std::size_t idleConnections, std::size_t openingLists, mono_time now)
 {
-    if (auto *start = std::get_if<start_run>(&call)) {
-        d->starts.push_back({.call = std::move(*start), .since = now});
-    } else {
-        d->others.push_back(std::move(call));
+    std::vector<run_call> ready;
+    d->addCalls(supervisor, now);
+    d->reportExpired(supervisor, now);
+    if (supervisor.isLost()) {
+        clear(); // The runs of the starts that wait were reported as ended.
+        return ready;
+    }
+    d->takeReady(idleConnections, ready);
+    openingLists += static_cast<std::size_t>(std::ranges::count_if(ready, [](const run_call &call) {
+        return std::holds_alternative<list_runs>(call) && !needsConfirmed(call);
+    }));
+    for (; openingLists < d->starts.size(); ++openingLists) {
+        supervisor.requestLists(now);
     }
+    d->addCalls(supervisor, now);
+    d->takeReady(0, ready);
+    return ready;
 }
 
 void call_dispatcher::putBack(run_call call, mono_time now)
@@ -66,23 +123,6 @@
     }
 }
 
-std::vector<run_call> call_dispatcher::takeReady(std::size_t idleConnections)
-{
-    std::vector<run_call> ready;
-    for (; idleConnections > 0 && !d->starts.empty(); --idleConnections) {
-        ready.emplace_back(std::move(d->starts.front().call));
-        d->starts.pop_front();
-    }
-    for (run_call &call : std::exchange(d->others, {})) {
-        if (auto *list = std::get_if<list_runs>(&call); list != nullptr && idleConnections == 0) {
-            makeHarmless(*list);
-        }
-        idleConnections -= std::min<std::size_t>(idleConnections, 1); // libcurl prefers an idle connection.
-        ready.push_back(std::move(call));
-    }
-    return ready;
-}
-
 // A stop changes nothing in the next instance, which has no run of the task. A lease on the clock of the former instance would hold the
 // runs of the next one for as long as the endpoint allows, and ends of its runs would count as acknowledged.
 bool call_dispatcher::needsConfirmed(const run_call &call)
@@ -91,24 +131,7 @@
     return std::holds_alternative<start_run>(call) || (list != nullptr && (list->leaseEnd || list->acknowledged > 0));
 }
 
-std::vector<run_id> call_dispatcher::takeExpired(mono_time now)
-{
-    std::vector<run_id> expired;
-    std::erase_if(d->starts, [this, now, &expired](const waiting_start &start) {
-        const bool isExpired = now - start.since >= d->startLimit;
-        if (isExpired) {
-            expired.push_back(start.call.id);
-        }
-        return isExpired;
-    });
-    return expired;
-}
-
-std::size_t call_dispatcher::waitingStarts() const
-{
-    return d->starts.size();
-}
-
+// A start that is put back begins to wait anew, so the first start need not be the one that has waited longest.
 mono_time call_dispatcher::nextDue() const
 {
     mono_time due = mono_time::max();
--- a/src/agent/run/call_dispatcher.h
+++ b/src/agent/run/call_dispatcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "agent/run/run_call.h"
-#include "agent/run/run_id.h"
+#include "agent/run/run_supervisor.h"
 #include "base/clock.h"
 
 #include <chrono>
@@ -37,11 +37,16 @@
     call_dispatcher &operator=(const call_dispatcher &) = delete;
 
     /**
-     * Adds a call.
-     * @param call the call
+     * Takes the calls of a supervisor and returns those to send now. Starts come first, so that they get the confirmed connections. A list
+     * call that has to use another connection renews no lease, acknowledges no ends and is answered at once; such calls are requested for starts
+     * that wait. Starts that have waited too long are reported to the supervisor as not sent.
+     * @param supervisor the supervisor
+     * @param idleConnections number of idle confirmed connections
+     * @param openingLists number of unanswered list calls on other connections
      * @param now current time
+     * @return the calls, in order; each is returned once
      */
-    void add(run_call call, mono_time now);
+    std::vector<run_call> collect(run_supervisor &supervisor, std::size_t idleConnections, std::size_t openingLists, mono_time now);
 
     /**
      * Adds a call again that was not sent, since its connection turned out not to be confirmed. It comes before all others of its kind.
@@ -50,25 +55,7 @@
      */
     void putBack(run_call call, mono_time now);
 
-    /**
-     * Returns the calls to send now. Starts come first, so that they get the confirmed connections. A list call that has to use another
-     * connection renews no lease, acknowledges no ends and is answered at once.
-     * @param idleConnections number of idle confirmed connections
-     * @return the calls, in order; each is returned once
-     */
-    std::vector<run_call> takeReady(std::size_t idleConnections);
-
-    /**
-     * Returns the starts that have waited too long. They were not sent.
-     * @param now current time
-     * @return the runs; each is returned once
-     */
-    std::vector<run_id> takeExpired(mono_time now);
-
-    /** @return number of starts that wait for a confirmed connection; a list call on another connection confirms one */
-    std::size_t waitingStarts() const;
-
-    /** @return time at which takeExpired() must be called; the maximum if no start waits */
+    /** @return time at which collect() must be called; the maximum if no start waits */
     mono_time nextDue() const;
 
     /** Drops all calls. */
--- a/src/agent/run/run_supervisor.cpp
+++ b/src/agent/run/run_supervisor.cpp
@@ -101,6 +101,7 @@
         return;
     }
     if (result == call_result::unsent) {
+        d->logRun("A start was not sent, since the endpoint has confirmed no connection for it.", found->second);
         d->finish(id, task_verdict::notStarted, found->second.stopRequested ? found->second.stopReason : reason::overloaded, now);
         return;
     }
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -107,29 +107,11 @@
 
     void sendCalls()
     {
-        const mono_time now = mono_clock::now();
-        addCalls(now);
-        for (const run_id &id : dispatcher.takeExpired(now)) {
-            supervisor.startAnswered(id, call_result::unsent, now);
-        }
-        std::vector<run_call> ready = dispatcher.takeReady(connections.idleConfirmed());
-        for (std::size_t opening = openingLists(); opening < dispatcher.waitingStarts(); ++opening) {
-            supervisor.requestLists(now);
-        }
-        addCalls(now);
-        std::ranges::move(dispatcher.takeReady(0), std::back_inserter(ready));
-        for (run_call &call : ready) {
+        for (run_call &call : dispatcher.collect(supervisor, connections.idleConfirmed(), openingLists(), mono_clock::now())) {
             send(std::move(call));
         }
     }
 
-    void addCalls(mono_time now)
-    {
-        for (run_call &call : supervisor.takeCalls()) {
-            dispatcher.add(std::move(call), now);
-        }
-    }
-
     // Returns the number of list calls whose answers will confirm connections for starts that wait.
     std::size_t openingLists() const
     {
