Play silent restarts of workers in virtual time

The new fault silentCrashes lets a worker fall silent and return 1 to 600 ms later under its id, with its first heartbeat up to 700 ms after that. With it the connections to a worker are simulated: each ends with the life that accepted it, and a call on a closed one is repeated on a new one, as libcurl does. Plays without the fault are the same as before.

--- a/tests/chain/agent_node.cpp
+++ b/tests/chain/agent_node.cpp
@@ -1,5 +1,8 @@
 #include "chain/agent_node.h"
 
+#include "platform/worker_client_settings.h"
+
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <utility>
@@ -41,6 +44,7 @@
     , m_links(std::move(links))
     , m_log(log)
     , m_process(timeline, random)
+    , m_dispatcher(worker_client_settings().callLimit)
     , m_instance(position * IncarnationsOfOne)
 {
     m_info.address = "10.1.0." + std::to_string(position) + ":1";
@@ -56,6 +60,9 @@
     m_isLostReported = false;
     m_supervisorWake = mono_time::max();
     m_decisionWake = mono_time::max();
+    m_adopted = m_worker.born();
+    m_dispatcher.clear();
+    m_transport.reconnect();
     m_supervisor = std::make_unique<run_supervisor>(
         supervisor_settings{.fencingToken = tokenAt(m_timeline.now()), .endpointStart = m_worker.born()}, m_timeline.now(), m_log);
     supervise(m_instance, [] {});
@@ -191,11 +198,13 @@
 
 void agent_node::sendCalls()
 {
-    for (const run_call &call : m_supervisor->takeCalls()) {
+    for (const run_call &call : m_dispatcher.collect(*m_supervisor, m_transport.idleConnections(), m_transport.openingLists(), m_timeline.now())) {
         m_transport.send(call, [this, instance = m_instance, call](call_result result, const list_runs_result &lists) {
             m_process.post(process_lane::worker, 0us, [this, instance, call, result, lists] {
                 supervise(instance, [this, &call, result, &lists] {
-                    if (const auto *start = std::get_if<start_run>(&call); start != nullptr) {
+                    if (result == call_result::unsent) {
+                        m_dispatcher.putBack(call, m_timeline.now());
+                    } else if (const auto *start = std::get_if<start_run>(&call); start != nullptr) {
                         m_supervisor->startAnswered(start->id, result, m_timeline.now());
                     } else if (const auto *stop = std::get_if<stop_run>(&call); stop != nullptr) {
                         m_supervisor->stopAnswered(stop->id, result, m_timeline.now());
@@ -237,7 +246,7 @@
 
 void agent_node::armSupervisorTimer()
 {
-    const mono_time due = m_supervisor->nextDue();
+    const mono_time due = std::min(m_supervisor->nextDue(), m_dispatcher.nextDue());
     if (due >= m_supervisorWake || due == mono_time::max()) {
         return;
     }
@@ -250,6 +259,15 @@
     });
 }
 
+void agent_node::handleHeartbeat()
+{
+    m_process.post(process_lane::decision, 0us, [this] {
+        if (m_supervisor && m_worker.isAlive() && m_worker.born() != m_adopted) {
+            endInstance();
+        }
+    });
+}
+
 void agent_node::kill()
 {
     m_process.kill();
--- a/tests/chain/agent_node.h
+++ b/tests/chain/agent_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/agent_core.h"
+#include "agent/run/call_dispatcher.h"
 #include "agent/run/run_supervisor.h"
 #include "chain/agent_node_links.h"
 #include "chain/chain_faults.h"
@@ -12,6 +13,7 @@
 #include "core/agent_info.h"
 #include "log/logger.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -48,6 +50,9 @@
      */
     void handle(const agent_event &event);
 
+    /** Takes a heartbeat of the current life of the worker, which takes the place of a former life. */
+    void handleHeartbeat();
+
     /** Kills the process. */
     void kill();
 
@@ -87,6 +92,8 @@
     agent_info m_info;
     std::unique_ptr<agent_core> m_core;
     std::unique_ptr<run_supervisor> m_supervisor;
+    call_dispatcher m_dispatcher;
+    std::chrono::milliseconds m_adopted{}; ///< Start of the supervised life of the worker.
     std::uint64_t m_instance = 0; ///< Counts the supervisors.
     bool m_isReadyReported = false;
     bool m_isLostReported = false;
--- a/tests/chain/chain_faults.h
+++ b/tests/chain/chain_faults.h
@@ -14,6 +14,11 @@
     double oneWayCuts = 0; ///< Cuts of connections in one direction.
     double oneSidedResets = 0; ///< Resets that one side sees; half of them come with a cut, so that the other side gets no answer.
     double shortPauses = 0; ///< Pauses of a whole process of 300 to 600 ms.
+    /**
+     * Workers that fall silent in a crash and return 1 to 600 ms later under the same id. The connections to a worker are simulated only
+     * with this fault, so that the seeds of the others play as without it.
+     */
+    double silentCrashes = 0;
     double workerCrashes = 0; ///< Workers that crash and return 0.3 to 1.4 s later under the same id, without memory of their former life.
 };
 
--- a/tests/chain/chain_simulation.h
+++ b/tests/chain/chain_simulation.h
@@ -134,6 +134,7 @@
     void slowProcess();
     void pauseShortly();
     void crashWorker();
+    void crashWorkerSilently();
     void cutOneWay();
     void resetOneSide();
     std::size_t anyNode();
--- a/tests/chain/chain_simulation_thread_faults.cpp
+++ b/tests/chain/chain_simulation_thread_faults.cpp
@@ -31,6 +31,10 @@
 constexpr std::chrono::microseconds MinWorkerOutage = 300ms;
 constexpr std::chrono::microseconds MaxWorkerOutage = 1400ms;
 
+constexpr std::chrono::microseconds MinSilence = 1ms;
+constexpr std::chrono::microseconds MaxSilence = 600ms;
+constexpr std::chrono::microseconds MaxFirstHeartbeat = 700ms; // Time from the start of a worker to its first heartbeat.
+
 // Threads that can be late; an entry has no thread of a worker.
 constexpr std::array Lanes = {process_lane::rpc, process_lane::decision, process_lane::worker};
 constexpr std::array<std::string_view, Lanes.size()> LaneNames = {"rpc", "decision", "worker"};
@@ -46,13 +50,14 @@
 void chain_simulation::injectTimedFaults()
 {
     using simulation = chain_simulation;
-    static constexpr std::array<timed_fault, 6> faults = {{
+    static constexpr std::array<timed_fault, 7> faults = {{
         {&chain_faults::lateThreads, &simulation::delayThread},
         {&chain_faults::slowProcesses, &simulation::slowProcess},
         {&chain_faults::oneWayCuts, &simulation::cutOneWay},
         {&chain_faults::oneSidedResets, &simulation::resetOneSide},
         {&chain_faults::shortPauses, &simulation::pauseShortly},
         {&chain_faults::workerCrashes, &simulation::crashWorker},
+        {&chain_faults::silentCrashes, &simulation::crashWorkerSilently},
     }};
     for (const timed_fault &one : faults) {
         injectRepeatedly(one);
@@ -130,6 +135,25 @@
     });
 }
 
+void chain_simulation::crashWorkerSilently()
+{
+    const std::size_t position = m_random.below(m_site.agents);
+    simulated_worker &worker = *m_workers[position];
+    if (!worker.isAlive()) {
+        return;
+    }
+    const auto length = m_random.between(MinSilence, MaxSilence);
+    logEvent(concat("Silent crash of worker ", position, " for ", millisOf(length), " ms"));
+    worker.crashSilently();
+    m_timeline.after(length, [this, position] {
+        logEvent(concat("Worker ", position, " has returned"));
+        m_workers[position]->restart();
+    });
+    m_timeline.after(length + m_random.between(0us, MaxFirstHeartbeat), [this, position] {
+        m_agents[position]->handleHeartbeat();
+    });
+}
+
 // Entries come first in the numbers of nodes.
 std::size_t chain_simulation::anyNode()
 {
--- a/tests/chain/simulated_worker.cpp
+++ b/tests/chain/simulated_worker.cpp
@@ -42,10 +42,27 @@
     m_leaseEnd = {};
 }
 
+void simulated_worker::crashSilently()
+{
+    crash();
+    m_isSilent = true;
+}
+
+bool simulated_worker::isSilent() const
+{
+    return m_isSilent;
+}
+
+std::uint64_t simulated_worker::life() const
+{
+    return m_life;
+}
+
 void simulated_worker::restart()
 {
     ++m_life;
     m_isAlive = true;
+    m_isSilent = false;
     m_bornAt = m_timeline.now();
 }
 
--- a/tests/chain/simulated_worker.h
+++ b/tests/chain/simulated_worker.h
@@ -65,12 +65,21 @@
     /** Ends the worker with all runs; it forgets the token, the lease, the attempts and the ends. */
     void crash();
 
+    /** Ends the worker like crash(), but its address answers nothing instead of refusing connections. */
+    void crashSilently();
+
     /** Starts the worker again with a clock that begins anew. */
     void restart();
 
     /** @return whether the worker accepts connections */
     bool isAlive() const;
 
+    /** @return whether the worker has crashed and its address answers nothing */
+    bool isSilent() const;
+
+    /** @return number of the current life */
+    std::uint64_t life() const;
+
     /** @return start of the worker since 1970 */
     std::chrono::milliseconds born() const;
 
@@ -115,6 +124,7 @@
     std::size_t m_lapsed = 0;
     std::uint64_t m_life = 1; ///< Counts the starts of the worker.
     bool m_isAlive = true;
+    bool m_isSilent = false;
 };
 
 } // namespace teaselward
