Let the simulation ignore a life that has ended before it was served

A heartbeat of the next life of a worker could arrive between the report that the former one accepts starts and its handling; the simulated agent then used a supervisor that was gone.

--- a/tests/chain/agent_node.cpp
+++ b/tests/chain/agent_node.cpp
@@ -228,7 +228,7 @@
     if (!m_isReadyReported && m_supervisor->isReady()) {
         m_isReadyReported = true;
         m_process.post(process_lane::decision, 0us, [this, instance = m_instance] {
-            if (instance == m_instance) {
+            if (instance == m_instance && m_supervisor) { // A heartbeat of the next life may have ended this one.
                 serve();
             }
         });
