Know connections to a worker by identifiers that are used once

A connection was known by its local port. An answer that is evaluated after its connection was closed would have confirmed a later connection with the same port, perhaps one to the next life of the worker. The port is now used only at the moment at which libcurl is about to send on it, when no other open connection can have it.

Impossible now: a connection that counts as confirmed for what another one has answered.

--- a/src/agent/run/call_dispatcher.h
+++ b/src/agent/run/call_dispatcher.h
@@ -19,9 +19,9 @@
 
 /**
  * Decides which calls to an endpoint may be sent, so that none of them changes a later instance of the endpoint. An endpoint may start
- * again under its id, and a call names only the id. A connection does not outlive the instance that accepted it, so a connection is confirmed
- * once the adopted instance has answered a list call through it. Starts wait for an idle confirmed connection; the lease is renewed through such a connection
- * only. It does no I/O and reads no clock.
+ * again under its id, and a call names only the id. A connection does not outlive the instance that accepted it, so it is confirmed once
+ * the adopted instance has answered a list call through it. Starts wait for an idle confirmed connection; the lease is renewed through
+ * such a connection only. It does no I/O and reads no clock.
  */
 class call_dispatcher
 {
--- a/src/agent/run/run_supervisor.cpp
+++ b/src/agent/run/run_supervisor.cpp
@@ -30,6 +30,7 @@
     refusal_rule{call_result::invalid, task_verdict::failed, reason::taskFailed},
 };
 
+// Returns whether the endpoint has answered, and so was alive a moment ago.
 bool isAnswer(call_result result)
 {
     return result != call_result::unanswered && result != call_result::unsent;
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -13,7 +13,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <iterator>
 #include <optional>
 #include <system_error>
 #include <utility>
@@ -117,7 +116,7 @@
     {
         return static_cast<std::size_t>(std::ranges::count_if(active, [this](const auto &item) {
             const auto *list = std::get_if<list_runs>(&item.second->call());
-            return list != nullptr && list->wait.count() == 0 && !connections.isConfirmed(item.second->localPort());
+            return list != nullptr && list->wait.count() == 0 && !connections.isConfirmed(item.second->connection());
         }));
     }
 
@@ -161,7 +160,7 @@
             std::unique_ptr<worker_exchange> exchange = std::move(found->second);
             active.erase(found);
             curl_multi_remove_handle(multi, handle);
-            connections.release(exchange->localPort());
+            connections.release(exchange->connection());
             apply(*exchange, exchange->result(result));
             idle.push_back(std::move(exchange));
             any = true;
@@ -188,7 +187,7 @@
             lists.number = std::get<list_runs>(exchange.call()).number;
             lists.result = result == call_result::accepted && !decodeLists(exchange.body(), lists) ? call_result::unanswered : result;
             if (lists.result == call_result::accepted && isAdoptedInstance(lists)) {
-                connections.confirm(exchange.localPort());
+                connections.confirm(exchange.connection());
             }
             supervisor.listed(lists, now);
         }
--- a/src/platform/worker_connections.cpp
+++ b/src/platform/worker_connections.cpp
@@ -38,12 +38,13 @@
 class worker_connections_private
 {
 public:
-    worker_connection *find(int localPort)
+    worker_connection *find(std::uint64_t id)
     {
-        const auto found = std::ranges::find(connections, localPort, &worker_connection::localPort);
+        const auto found = std::ranges::find(connections, id, &worker_connection::id);
         return found != connections.end() ? &*found : nullptr;
     }
 
+    std::uint64_t lastId = 0;
     std::vector<worker_connection> connections; ///< At most a few more than the calls that are sent at the same time.
 };
 
@@ -60,7 +61,7 @@
 {
     const int socket = ::socket(family, type | SOCK_CLOEXEC, protocol);
     if (socket >= 0) {
-        d->connections.push_back({.socket = socket});
+        d->connections.push_back({.id = ++d->lastId, .socket = socket});
     }
     return socket;
 }
@@ -73,40 +74,46 @@
     return ::close(socket);
 }
 
-// libcurl names only the port of a connection, so the socket is looked up at the first call.
-void worker_connections::occupy(int localPort)
+// The local port of a socket is read once, when the first call through it is about to be sent.
+std::uint64_t worker_connections::find(int localPort)
 {
-    worker_connection *connection = d->find(localPort);
-    if (connection == nullptr) {
-        const auto opened = std::ranges::find_if(d->connections, [localPort](const worker_connection &one) {
+    auto found = std::ranges::find(d->connections, localPort, &worker_connection::localPort);
+    if (found == d->connections.end()) {
+        found = std::ranges::find_if(d->connections, [localPort](const worker_connection &one) {
             return one.localPort == 0 && localPortOf(one.socket) == localPort;
         });
-        if (opened == d->connections.end()) {
-            return;
-        }
-        opened->localPort = localPort;
-        connection = &*opened;
     }
-    connection->isBusy = true;
+    if (found == d->connections.end()) {
+        return 0;
+    }
+    found->localPort = localPort;
+    return found->id;
+}
+
+void worker_connections::occupy(std::uint64_t id)
+{
+    if (worker_connection *connection = d->find(id)) {
+        connection->isBusy = true;
+    }
 }
 
-void worker_connections::release(int localPort)
+void worker_connections::release(std::uint64_t id)
 {
-    if (worker_connection *connection = d->find(localPort)) {
+    if (worker_connection *connection = d->find(id)) {
         connection->isBusy = false;
     }
 }
 
-void worker_connections::confirm(int localPort)
+void worker_connections::confirm(std::uint64_t id)
 {
-    if (worker_connection *connection = d->find(localPort)) {
+    if (worker_connection *connection = d->find(id)) {
         connection->isConfirmed = true;
     }
 }
 
-bool worker_connections::isConfirmed(int localPort) const
+bool worker_connections::isConfirmed(std::uint64_t id) const
 {
-    const worker_connection *connection = d->find(localPort);
+    const worker_connection *connection = d->find(id);
     return connection != nullptr && connection->isConfirmed;
 }
 
--- a/src/platform/worker_connections.h
+++ b/src/platform/worker_connections.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 
 namespace teaselward
@@ -12,8 +13,8 @@
 }
 
 /**
- * Connections of libcurl to one instance of a worker, each known by its local port while it is open. A connection is confirmed once
- * the instance has answered a list call through it.
+ * Connections of libcurl to one instance of a worker. libcurl names a connection by its local port, which another connection can have
+ * later; an identifier is used once. A connection is confirmed once the instance has answered a list call through it.
  */
 class worker_connections
 {
@@ -34,36 +35,43 @@
     int open(int family, int type, int protocol);
 
     /**
-     * Closes a socket. Its local port may belong to another connection afterwards.
+     * Closes the socket of a connection.
      * @param socket the socket
      * @return zero; negative on an error, with errno set
      */
     int close(int socket);
 
     /**
-     * Marks a connection as busy.
+     * Returns the identifier of an open connection.
      * @param localPort local port of the connection
+     * @return the identifier; zero if there is no such connection
      */
-    void occupy(int localPort);
+    std::uint64_t find(int localPort);
+
+    /**
+     * Marks a connection as busy. Ignored if it was closed.
+     * @param id identifier of the connection
+     */
+    void occupy(std::uint64_t id);
 
     /**
      * Marks a connection as idle. Ignored if it was closed.
-     * @param localPort local port of the connection
+     * @param id identifier of the connection
      */
-    void release(int localPort);
+    void release(std::uint64_t id);
 
     /**
      * Records that the instance has answered a list call through a connection. Ignored if the connection was closed.
-     * @param localPort local port of the connection
+     * @param id identifier of the connection
      */
-    void confirm(int localPort);
+    void confirm(std::uint64_t id);
 
     /**
      * Returns whether a connection is confirmed.
-     * @param localPort local port of the connection
+     * @param id identifier of the connection
      * @return whether it is open and confirmed
      */
-    bool isConfirmed(int localPort) const;
+    bool isConfirmed(std::uint64_t id) const;
 
     /** @return number of confirmed connections without a call */
     std::size_t idleConfirmed() const;
--- a/src/platform/worker_exchange.cpp
+++ b/src/platform/worker_exchange.cpp
@@ -76,11 +76,12 @@
     static int onConnected(void *self, char * /*remoteAddress*/, char * /*localAddress*/, int /*remotePort*/, int localPort)
     {
         auto *exchange = static_cast<worker_exchange_private *>(self);
-        if (call_dispatcher::needsConfirmed(exchange->call) && !exchange->connections.isConfirmed(localPort)) {
+        const std::uint64_t connection = exchange->connections.find(localPort);
+        if (call_dispatcher::needsConfirmed(exchange->call) && !exchange->connections.isConfirmed(connection)) {
             return CURL_PREREQFUNC_ABORT;
         }
-        exchange->localPort = localPort;
-        exchange->connections.occupy(localPort);
+        exchange->connection = connection;
+        exchange->connections.occupy(connection);
         return CURL_PREREQFUNC_OK;
     }
 
@@ -99,7 +100,7 @@
     CURL *handle;
     curl_slist *headers = nullptr;
     run_call call;
-    int localPort = 0; ///< Zero if the call was not sent.
+    std::uint64_t connection = 0; ///< Zero if the call was not sent.
     std::string request;
     std::string response;
 };
@@ -141,7 +142,7 @@
 void worker_exchange::prepare(run_call call)
 {
     d->call = std::move(call);
-    d->localPort = 0;
+    d->connection = 0;
     d->response.clear();
     const std::string url = std::visit(
         [this](const auto &one) {
@@ -169,7 +170,7 @@
 // instance receives no start and no lease (see onConnected).
 call_result worker_exchange::result(CURLcode result) const
 {
-    if (result == CURLE_ABORTED_BY_CALLBACK && d->localPort == 0) {
+    if (result == CURLE_ABORTED_BY_CALLBACK && d->connection == 0) {
         return call_result::unsent;
     }
     if (result == CURLE_COULDNT_CONNECT) {
@@ -188,9 +189,9 @@
     return osError == ECONNREFUSED ? call_result::unreachable : call_result::unanswered;
 }
 
-int worker_exchange::localPort() const
+std::uint64_t worker_exchange::connection() const
 {
-    return d->localPort;
+    return d->connection;
 }
 
 const std::string &worker_exchange::body() const
--- a/src/platform/worker_exchange.h
+++ b/src/platform/worker_exchange.h
@@ -7,6 +7,7 @@
 
 #include <curl/curl.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -60,8 +61,8 @@
      */
     static call_result connectionFailure(long osError);
 
-    /** @return local port of the connection that the call was sent through last; zero if it was not sent */
-    int localPort() const;
+    /** @return identifier of the connection that the call was sent through last; zero if it was not sent */
+    std::uint64_t connection() const;
 
     /** @return body of the response */
     const std::string &body() const;
