--- a/tests/chain/silent_restart_test.cpp
+++ b/tests/chain/silent_restart_test.cpp
@@ -19,7 +19,7 @@
     playWithSteadyCallers({.lostAnswers = 0.2, .silentCrashes = 4}, {.first = 1, .last = 40});
 }
 
-// Guards against the same when the agent is late, paused or cut off from the home at that time.
+// Guards against the same when the agent is late or paused at that time.
 BOOST_AUTO_TEST_CASE(aRestartBesideALateAgentLeavesNoRunBehind)
 {
     playWithSteadyCallers({.lateThreads = 1, .shortPauses = 1, .silentCrashes = 2}, {.first = 1, .last = 40});
